--- /dev/null
+++ b/flamingolug/cli/__init__.py
@@ -0,0 +1,5 @@
+"""Operators' command line."""
+
+from flamingolug.cli._program import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/flamingolug/cli/_fleet_commands.py
@@ -0,0 +1,84 @@
+"""Commands about the nodes: status and drain."""
+
+from typing import Any
+from typing import ClassVar
+
+import cleo.commands.command
+import cleo.helpers
+import msgspec
+
+from flamingolug.cli import _options
+from flamingolug.cli import _output
+
+
+class StatusCommand(cleo.commands.command.Command):
+    """Prints the state of every node."""
+
+    name = "status"
+    description = "Shows every node: service, revision, load."
+    options: ClassVar[list[Any]] = _options.fleet_options()
+
+    def handle(self) -> int:
+        """Prints a table; exit code 5 when a node does not answer."""
+        fleet = _options.open_fleet(self)
+        statuses = fleet.statuses(fleet.members())
+        silent = [name for name, status in statuses.items() if status is None]
+        if self.option("json"):
+            self.line(_output.to_json(msgspec.to_builtins(statuses)))
+        else:
+            self._print_table(statuses)
+        if silent:
+            return _output.ExitCode.UNREACHABLE
+        return _output.ExitCode.OK
+
+    def _print_table(self, statuses: dict[str, Any]) -> None:
+        rows: list[Any] = []
+        for name in sorted(statuses):
+            status = statuses[name]
+            if status is None:
+                rows.append([name, "?", "?", "?", "silent", "", "", ""])
+                continue
+            rows.append(
+                [
+                    name,
+                    status.availability_zone,
+                    status.service or "-",
+                    str(status.revision),
+                    "leaving" if status.leaving else "serving",
+                    f"{status.running}/{int(status.limit)}",
+                    str(status.waiting),
+                    str(status.cutoff),
+                ]
+            )
+        headers: Any = [
+            "node",
+            "zone",
+            "service",
+            "revision",
+            "state",
+            "running",
+            "waiting",
+            "cutoff",
+        ]
+        table = self.table(headers, rows)
+        table.render()
+
+
+class DrainCommand(cleo.commands.command.Command):
+    """Stops one node gracefully."""
+
+    name = "drain"
+    description = "Asks a node to finish its work and stop."
+    arguments: ClassVar[list[Any]] = [
+        cleo.helpers.argument("node", "name of the node")
+    ]
+    options: ClassVar[list[Any]] = _options.fleet_options()
+
+    def handle(self) -> int:
+        """Sends the request; the node goes on until its work is finished."""
+        name = self.argument("node")
+        if _options.open_fleet(self).drain(name):
+            self.line(f"{name} is draining")
+            return _output.ExitCode.OK
+        self.line_error(f"{name} is not a member, or refused; see `status`")
+        return _output.ExitCode.REFUSED
--- /dev/null
+++ b/flamingolug/configuration/_holder.py
@@ -0,0 +1,208 @@
+"""Holds the manifest in force and keeps it up to date.
+
+A node takes a manifest from whoever has a later revision: from any peer, or
+from the store. Only two nodes of each availability zone watch the store; the
+rest learn of a change by heartbeats. A revision lower than the one in force
+is never taken, so that no stale read or old peer can revert it.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+
+from flamingolug import errors
+from flamingolug import manifest
+from flamingolug import membership
+from flamingolug import peers
+from flamingolug import store
+from flamingolug import telemetry
+from flamingolug import timing
+from flamingolug.configuration import _document
+
+_LOGGER = logging.getLogger(__name__)
+#: Nodes of one availability zone that watch the store.
+WATCHERS_PER_ZONE = 2
+#: Seconds that one watch waits.
+WATCH_WAIT_S = 30.0
+#: Seconds between tries while the store does not answer.
+STORE_RETRY_S = 1.0
+#: Seconds between two looks at whether this node watches the store.
+ROLE_INTERVAL_S = 1.0
+FETCH_TIMEOUT_S = 3.0
+#: Members told at once of a new revision.
+PUSH_COUNT = 6
+REVISIONS = "flamingolug.configuration.revisions"
+
+
+class InForce(NamedTuple):
+    """The manifest that this node acts on."""
+
+    revision: int
+    digest: str
+    manifest: manifest.Manifest
+    ladder: manifest.Ladder
+    #: Stored form, passed on to peers.
+    stored: bytes
+
+
+class Needs(NamedTuple):
+    """What the configuration works with."""
+
+    links: peers.Links
+    members: membership.Membership
+    #: None when the settings name no store.
+    store: store.Store | None
+    timers: timing.Timers
+    counters: telemetry.Counters
+    next_id: Callable[[], int]
+
+
+class Configuration:
+    """The manifest in force at this node."""
+
+    def __init__(self, needs: Needs) -> None:
+        """Starts without a manifest."""
+        needs.counters.declare(
+            REVISIONS, "Revisions seen, by what was done", "result"
+        )
+        self.in_force: InForce | None = None
+        self._needs = needs
+        self._fetching = False
+        self._store_version = 0
+        self._listeners: list[Callable[[InForce], None]] = []
+        needs.members.follow_revisions(self._current, self._seen)
+
+    def start(self) -> None:
+        """Begins to follow the store where this node has that role."""
+        if self._needs.store is not None:
+            gevent.spawn(self._follow_store, self._needs.store)
+
+    def subscribe(self, listener: Callable[[InForce], None]) -> None:
+        """Calls `listener` with each manifest that comes into force."""
+        self._listeners.append(listener)
+
+    def offer(self, stored: bytes, source: str) -> bool:
+        """Puts a manifest in force if its revision is a later one.
+
+        Args:
+            stored: the manifest as the store keeps it.
+            source: where it came from, for logs.
+
+        Returns:
+            Whether it is in force now, as before or newly.
+
+        Raises:
+            ConfigurationError: damaged, or another manifest under the
+                revision that is in force.
+        """
+        accepted = _document.decode(stored)
+        if accepted is None:
+            return False
+        revision, digest = self._current()
+        if accepted.revision < revision:
+            self._needs.counters.add(REVISIONS, "older")
+            return False
+        if accepted.revision == revision:
+            return self._check_same(accepted, digest, source)
+        found = manifest.decode(accepted.body, source)
+        self.in_force = InForce(
+            accepted.revision,
+            accepted.digest,
+            found,
+            manifest.build_ladder(found),
+            stored,
+        )
+        self._needs.counters.add(REVISIONS, "in-force")
+        telemetry.event(
+            _LOGGER,
+            "manifest.in-force",
+            revision=accepted.revision,
+            digest=accepted.digest,
+            source=source,
+        )
+        for listener in self._listeners:
+            listener(self.in_force)
+        self._needs.members.push_some(PUSH_COUNT)
+        return True
+
+    def _check_same(
+        self, accepted: _document.Accepted, digest: str, source: str
+    ) -> bool:
+        if accepted.digest == digest:
+            return True
+        self._needs.counters.add(REVISIONS, "conflict")
+        raise errors.ConfigurationError(
+            f"revision {accepted.revision} has digest {accepted.digest} "
+            f"there and {digest} here; apply a new revision",
+            step="configuration.offer",
+            peer=source,
+        )
+
+    def _current(self) -> tuple[int, str]:
+        if self.in_force is None:
+            return 0, ""
+        return self.in_force.revision, self.in_force.digest
+
+    def _seen(self, revision: int, digest: str, peer: str) -> None:
+        """Notes the revision of a peer and fetches a later one."""
+        del digest
+        if revision <= self._current()[0] or self._fetching:
+            return
+        self._fetching = True
+        gevent.spawn(self._fetch, peer)
+
+    def _fetch(self, peer: str) -> None:
+        """Takes the manifest from a peer."""
+        try:
+            answer = self._needs.links.to(peer).request(
+                peers.MessageType.FETCH,
+                {"id": self._needs.next_id()},
+                b"",
+                FETCH_TIMEOUT_S,
+            )
+            self.offer(answer.body, peer)
+        except errors.FlamingolugError as exc:
+            telemetry.event(
+                _LOGGER,
+                "manifest.fetch-failed",
+                level=logging.WARNING,
+                error=exc,
+            )
+        finally:
+            self._fetching = False
+
+    def _is_watcher(self) -> bool:
+        """Returns whether this node is one of its zone's store readers."""
+        table = self._needs.members.table
+        zone = [
+            each.name
+            for each in table.all()
+            if each.zone == table.own.zone
+            and each.state is membership.MemberState.ALIVE
+        ]
+        return table.own.name in sorted(zone)[:WATCHERS_PER_ZONE]
+
+    def _follow_store(self, source: store.Store) -> None:
+        """Watches the store while this node has the role."""
+        while True:
+            if not self._is_watcher():
+                gevent.sleep(ROLE_INTERVAL_S)
+                continue
+            try:
+                entry = source.watch(
+                    _document.MANIFEST_KEY, self._store_version, WATCH_WAIT_S
+                )
+                self._store_version = entry.version
+                self.offer(entry.value, "store")
+            except errors.FlamingolugError as exc:
+                telemetry.event(
+                    _LOGGER,
+                    "store.failed",
+                    level=logging.WARNING,
+                    step=exc.step,
+                    peer=exc.peer,
+                    error=exc.message,
+                )
+                gevent.sleep(STORE_RETRY_S)
--- /dev/null
+++ b/flamingolug/documents/__init__.py
@@ -0,0 +1,7 @@
+"""YAML documents checked against a JSON Schema, errors with line and key."""
+
+from flamingolug.documents._yaml import load_checked
+from flamingolug.documents._yaml import Problem
+from flamingolug.documents._yaml import read_text
+
+__all__ = ["Problem", "load_checked", "read_text"]
--- /dev/null
+++ b/flamingolug/kernel/__init__.py
@@ -0,0 +1,8 @@
+"""Kernel: plug-ins register themselves, the kernel resolves and runs them."""
+
+from flamingolug.kernel._kernel import Kernel
+from flamingolug.kernel._registry import Plugin
+from flamingolug.kernel._registry import plugin
+from flamingolug.kernel._registry import registered
+
+__all__ = ["Kernel", "Plugin", "plugin", "registered"]
--- /dev/null
+++ b/flamingolug/membership/_table.py
@@ -0,0 +1,163 @@
+"""Table of members and the rule by which reports replace each other."""
+
+import enum
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from flamingolug import peers
+
+#: Seconds that a dead or departed member is remembered.
+FORGET_S = 7_200.0
+
+
+class MemberState(enum.StrEnum):
+    """State of a member as gossip knows it."""
+
+    ALIVE = "alive"
+    #: A heartbeat failed; the member may refute it.
+    SUSPECT = "suspect"
+    #: It did not refute the suspicion in time.
+    DEAD = "dead"
+    #: It said itself that it leaves.
+    LEFT = "left"
+
+
+_ORDER = {state: index for index, state in enumerate(MemberState)}
+
+
+class Member(NamedTuple):
+    """One node."""
+
+    name: str
+    #: Number of this run of the node; a later run has a higher one.
+    incarnation: int
+    zone: str
+    region: str
+    http: str
+    peer: str
+    #: Service of the backend server beside it, empty for none yet.
+    service: str
+    state: MemberState
+    #: Orders reports about one incarnation.
+    version: int
+    #: Monotonic seconds of this process when the record changed here.
+    changed_at: float = 0.0
+
+    def to_message(self) -> peers.MemberMessage:
+        """Returns the form that travels between nodes."""
+        return {
+            "name": self.name,
+            "inc": self.incarnation,
+            "zone": self.zone,
+            "region": self.region,
+            "http": self.http,
+            "peer": self.peer,
+            "service": self.service,
+            "state": str(self.state),
+            "ver": self.version,
+        }
+
+
+def from_message(message: peers.MemberMessage, now: float) -> Member:
+    """Returns the member that a message describes.
+
+    Raises:
+        ValueError: the state is unknown.
+    """
+    return Member(
+        name=message["name"],
+        incarnation=message["inc"],
+        zone=message["zone"],
+        region=message["region"],
+        http=message["http"],
+        peer=message["peer"],
+        service=message["service"],
+        state=MemberState(message["state"]),
+        version=message["ver"],
+        changed_at=now,
+    )
+
+
+def replaces(newer: Member, older: Member) -> bool:
+    """Returns whether a report takes the place of another.
+
+    A later incarnation wins, then a higher version, then the worse state.
+    """
+    if newer.incarnation != older.incarnation:
+        return newer.incarnation > older.incarnation
+    if newer.version != older.version:
+        return newer.version > older.version
+    return _ORDER[newer.state] > _ORDER[older.state]
+
+
+class MemberTable:
+    """All members known, this node included."""
+
+    def __init__(self, own: Member) -> None:
+        """Starts with this node alone."""
+        self._members = {own.name: own}
+        self._own_name = own.name
+
+    @property
+    def own(self) -> Member:
+        """This node's record."""
+        return self._members[self._own_name]
+
+    def get(self, name: str) -> Member | None:
+        """Returns a member by name."""
+        return self._members.get(name)
+
+    def all(self) -> Iterable[Member]:
+        """Returns every member, in no order."""
+        return self._members.values()
+
+    def of_service(self, service: str) -> list[Member]:
+        """Returns members beside backend servers of `service`, by name."""
+        found = [
+            each for each in self._members.values() if each.service == service
+        ]
+        return sorted(found)
+
+    def merge(self, report: Member) -> bool:
+        """Takes in a report; returns whether it changed the table.
+
+        A report that this node is not alive is refuted: the own record gets
+        a higher version, which then counts as the change.
+        """
+        if report.name == self._own_name:
+            return self._refute(report)
+        known = self._members.get(report.name)
+        if known is not None and not replaces(report, known):
+            return False
+        self._members[report.name] = report
+        return True
+
+    def update_own(self, now: float, **fields: object) -> Member:
+        """Changes this node's record and raises its version."""
+        own = self.own
+        changed = own._replace(
+            version=own.version + 1,
+            changed_at=now,
+            **fields,  # type: ignore[arg-type]
+        )
+        self._members[self._own_name] = changed
+        return changed
+
+    def forget_old(self, now: float) -> None:
+        """Drops members that have been gone for long."""
+        for member in list(self._members.values()):
+            if member.state in (MemberState.ALIVE, MemberState.SUSPECT):
+                continue
+            if now - member.changed_at > FORGET_S:
+                del self._members[member.name]
+
+    def _refute(self, report: Member) -> bool:
+        own = self.own
+        if report.incarnation != own.incarnation:
+            return False
+        if report.version < own.version:
+            return False
+        if report.state == own.state and report.version == own.version:
+            return False
+        self._members[self._own_name] = own._replace(version=report.version + 1)
+        return True
--- /dev/null
+++ b/flamingolug/node/__init__.py
@@ -0,0 +1,6 @@
+"""The node: one small process beside each backend server."""
+
+from flamingolug.node._program import main
+from flamingolug.node._program import run
+
+__all__ = ["main", "run"]
--- /dev/null
+++ b/flamingolug/node/__main__.py
@@ -0,0 +1,5 @@
+"""Runs `flamingolug-node` as a module."""
+
+from flamingolug.node import _program
+
+_program.main()
--- /dev/null
+++ b/flamingolug/node/_admission.py
@@ -0,0 +1,231 @@
+"""The one ordered wait in front of a backend server.
+
+Calls wait by level, lower first. When the wait is full the least important
+call is refused, be it waiting or new. A call that cannot finish before its
+deadline is refused at once. Nothing else queues in front of the backend
+server: what is admitted gets one of its slots and one connection.
+"""
+
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import sortedcontainers
+from gevent import event
+
+from flamingolug import errors
+from flamingolug import policy
+from flamingolug import telemetry
+
+_STEP = "admission"
+#: Weight of a new sample in running means.
+_SMOOTHING = 0.1
+#: Seconds added to the best own time, so that the jitter of very short calls
+#: does not look like queueing.
+_JITTER_S = 0.003
+#: Factor by which the best own time grows per window, to forget old bests.
+_BEST_DRIFT = 1.005
+
+
+class _Waiter:
+    """One call in the wait; ordered by level, then by arrival."""
+
+    def __init__(
+        self, level: int, sequence: int, deadline: float, expected_s: float
+    ) -> None:
+        self.key = (level, sequence)
+        self.deadline = deadline
+        self.expected_s = expected_s
+        self.granted: event.AsyncResult[bool] = event.AsyncResult()
+
+    def __lt__(self, other: "_Waiter") -> bool:
+        return self.key < other.key
+
+
+class KindTimes:
+    """Running times of one kind at one backend server, in seconds."""
+
+    def __init__(self, expected_s: float) -> None:
+        """Starts from the manifest's expectation."""
+        self.held_s = expected_s
+        self.best_own_s = float("inf")
+
+    def record(self, held_s: float, own_s: float) -> float:
+        """Takes in one call; returns its own time over the best one."""
+        self.held_s += _SMOOTHING * (held_s - self.held_s)
+        self.best_own_s = min(self.best_own_s, own_s)
+        return own_s / (self.best_own_s + _JITTER_S)
+
+
+class Admission:
+    """Slots, wait and cutoff of the backend server beside this node."""
+
+    def __init__(
+        self,
+        limit: policy.LimitState,
+        top: int,
+        now: Callable[[], float],
+    ) -> None:
+        """Starts empty.
+
+        Args:
+            limit: limit to begin with.
+            top: one more than the highest level of the ladder.
+            now: monotonic clock.
+        """
+        self.limit = limit
+        self.running = 0
+        self._top = top
+        self._cutoff = policy.CutoffState(top, top)
+        self._now = now
+        self._sequence = itertools.count()
+        self._waiting: Any = sortedcontainers.SortedList()
+        self._held_s = 0.0
+        self._times: dict[str, KindTimes] = {}
+        self._offered: dict[int, int] = {}
+        self._started = 0
+        self._shed = 0
+        self._inflations: list[float] = []
+        self._used_up = False
+
+    @property
+    def cutoff(self) -> int:
+        """Highest level admitted."""
+        return self._cutoff.cutoff
+
+    @property
+    def waiting(self) -> int:
+        """Calls that wait."""
+        return len(self._waiting)
+
+    def set_top(self, top: int) -> None:
+        """Starts over with another ladder: everything is admitted again."""
+        self._top = top
+        self._cutoff = policy.CutoffState(top, top)
+        self._offered.clear()
+
+    def enter(
+        self, kind: str, level: int, deadline: float, expected_s: float
+    ) -> None:
+        """Waits for a slot; `leave` gives it back.
+
+        Args:
+            kind: kind of the call.
+            level: its shedding level.
+            deadline: monotonic seconds.
+            expected_s: slot seconds that the manifest expects.
+
+        Raises:
+            RefusedError: shed, or too late to finish in time.
+        """
+        self._offered[level] = self._offered.get(level, 0) + 1
+        times = self._times.setdefault(kind, KindTimes(expected_s))
+        if self._held_s == 0.0:
+            self._held_s = expected_s
+        if self._now() + times.held_s > deadline:
+            raise errors.RefusedError(telemetry.Refusal.DEADLINE, step=_STEP)
+        if self.running < int(self.limit.limit) and not self._waiting:
+            self._start()
+            return
+        self._used_up = True
+        self._wait(level, deadline, times.held_s)
+
+    def leave(self, kind: str, held_s: float, own_s: float | None) -> None:
+        """Gives back a slot.
+
+        Args:
+            kind: kind of the call.
+            held_s: seconds that it held the slot.
+            own_s: the same without waits for calls of its own, None when the
+                call tells nothing of the backend server's speed.
+        """
+        self.running -= 1
+        if own_s is not None:
+            self._held_s += _SMOOTHING * (held_s - self._held_s)
+            self._inflations.append(self._times[kind].record(held_s, own_s))
+        self._grant()
+
+    def update_cutoff(self) -> None:
+        """Ends a cutoff window."""
+        self._refuse_late()
+        window = policy.Window(
+            self._offered, self._started, self._shed, bool(self._waiting)
+        )
+        self._cutoff = policy.next_cutoff(self._cutoff, window, self._top)
+        self._offered = {}
+        self._started = 0
+        self._shed = 0
+
+    def update_limit(self) -> None:
+        """Ends a limit window."""
+        inflation: float | None = None
+        if self._inflations:
+            inflation = sum(self._inflations) / len(self._inflations)
+        self.limit = policy.next_limit(self.limit, inflation, self._used_up)
+        for times in self._times.values():
+            times.best_own_s *= _BEST_DRIFT
+        self._inflations = []
+        self._used_up = self.running >= int(self.limit.limit)
+        self._grant()
+
+    def close(self, reason: telemetry.Refusal) -> None:
+        """Refuses every call that waits."""
+        while self._waiting:
+            self._refuse(self._waiting.pop(), reason)
+
+    def _start(self) -> None:
+        self.running += 1
+        self._started += 1
+        if self.running >= int(self.limit.limit):
+            self._used_up = True
+
+    def _wait(self, level: int, deadline: float, expected_s: float) -> None:
+        """Waits in order until granted or refused."""
+        waiter = _Waiter(level, next(self._sequence), deadline, expected_s)
+        limit = int(self.limit.limit)
+        ahead = self._waiting.bisect_left(waiter)
+        wait_s = policy.predict_wait_s(ahead, limit, self._held_s)
+        if self._now() + wait_s + expected_s > deadline:
+            self._shed += 1
+            raise errors.RefusedError(telemetry.Refusal.DEADLINE, step=_STEP)
+        self._waiting.add(waiter)
+        if len(self._waiting) > policy.wait_capacity(limit, self._held_s):
+            self._shed += 1
+            self._refuse(self._waiting.pop(), telemetry.Refusal.SHED)
+        try:
+            waiter.granted.get()
+        except BaseException:
+            self._abandon(waiter)
+            raise
+
+    def _abandon(self, waiter: _Waiter) -> None:
+        """Takes a call out of the wait, or gives its slot back."""
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+        elif waiter.granted.successful():
+            self.running -= 1
+            self._grant()
+
+    def _grant(self) -> None:
+        """Starts waiting calls while slots are free."""
+        while self._waiting and self.running < int(self.limit.limit):
+            waiter = self._waiting.pop(0)
+            if self._now() + waiter.expected_s > waiter.deadline:
+                self._shed += 1
+                self._refuse(waiter, telemetry.Refusal.DEADLINE)
+                continue
+            self._start()
+            waiter.granted.set(True)
+
+    def _refuse_late(self) -> None:
+        """Refuses waiting calls that can no longer finish in time."""
+        now = self._now()
+        for waiter in list(self._waiting):
+            if now + waiter.expected_s <= waiter.deadline:
+                continue
+            self._waiting.remove(waiter)
+            self._shed += 1
+            self._refuse(waiter, telemetry.Refusal.DEADLINE)
+
+    def _refuse(self, waiter: _Waiter, reason: telemetry.Refusal) -> None:
+        waiter.granted.set_exception(errors.RefusedError(reason, step=_STEP))
--- /dev/null
+++ b/flamingolug/node/_plugins.py
@@ -0,0 +1,303 @@
+"""Registers the parts of a node with the kernel."""
+
+import random
+from collections.abc import Callable
+from typing import cast
+
+import gevent
+import zmq
+
+from flamingolug import configuration
+from flamingolug import kernel
+from flamingolug import membership
+from flamingolug import peers
+from flamingolug import settings
+from flamingolug import store
+from flamingolug import telemetry
+from flamingolug import timing
+from flamingolug.node import _control
+from flamingolug.node import _entry
+from flamingolug.node import _first_contact
+from flamingolug.node import _front
+from flamingolug.node import _health
+from flamingolug.node import _inbound
+from flamingolug.node import _router
+from flamingolug.node import _upstream
+from flamingolug.node import _wire
+
+STORE_CALLS = "flamingolug.store.calls"
+
+
+class Identity:
+    """What tells this run of the node from all others."""
+
+    def __init__(self, incarnation: int) -> None:
+        """Starts the numbering of requests."""
+        self.incarnation = incarnation
+        self.next_id: Callable[[], int] = peers.make_id_source()
+        self.rng = random.Random(incarnation)
+
+
+def _settings(built: kernel.Kernel) -> settings.Settings:
+    return built.get("settings", settings.Settings)
+
+
+def _timers(built: kernel.Kernel) -> timing.Timers:
+    return cast(timing.Timers, built.get("timers", object))
+
+
+def _identity(built: kernel.Kernel) -> Identity:
+    return built.get("identity", Identity)
+
+
+def _counters(built: kernel.Kernel) -> telemetry.Counters:
+    return built.get("telemetry", telemetry.Counters)
+
+
+@kernel.plugin("telemetry", ("settings",))
+def _build_telemetry(built: kernel.Kernel) -> object:
+    cfg = _settings(built)
+    return telemetry.Counters(cfg.name, cfg.otlp_endpoint, cfg.otlp_interval_s)
+
+
+@kernel.plugin("keys", ("settings",))
+def _build_keys(built: kernel.Kernel) -> object:
+    return peers.derive_keys(_settings(built).peer_key)
+
+
+@kernel.plugin("endpoint", ("settings", "keys", "telemetry", "timers"))
+def _build_endpoint(built: kernel.Kernel) -> object:
+    return peers.Endpoint(
+        zmq.Context.instance(),
+        str(_settings(built).peer_address),
+        built.get("keys", peers.PeerKeys),
+        _counters(built),
+        _timers(built).now,
+    )
+
+
+@kernel.plugin("links", ("keys", "telemetry", "timers", "identity"))
+def _build_links(built: kernel.Kernel) -> object:
+    def members() -> membership.Membership:
+        return built.get("membership", membership.Membership)
+
+    identity = _identity(built)
+    return peers.Links(
+        peers.LinkOptions(
+            context=zmq.Context.instance(),
+            keys=built.get("keys", peers.PeerKeys),
+            incarnation=identity.incarnation,
+            now=_timers(built).now,
+            next_id=identity.next_id,
+            counters=_counters(built),
+            make_probe=lambda: members().make_ping(),
+            on_pong=lambda pong: members().take_in(pong),
+        )
+    )
+
+
+@kernel.plugin("loads", ("settings", "timers", "identity"))
+def _build_loads(built: kernel.Kernel) -> object:
+    cfg = _settings(built)
+    incarnation = _identity(built).incarnation
+    return membership.LoadBoard(
+        lambda: membership.new_report(cfg.name, incarnation, leaving=True),
+        _timers(built).now,
+    )
+
+
+@kernel.plugin(
+    "membership", ("settings", "links", "loads", "timers", "telemetry")
+)
+def _build_membership(built: kernel.Kernel) -> object:
+    cfg = _settings(built)
+    identity = _identity(built)
+    own = membership.Member(
+        name=cfg.name,
+        incarnation=identity.incarnation,
+        zone=cfg.availability_zone,
+        region=cfg.region,
+        http=str(cfg.http_address),
+        peer=str(cfg.peer_address),
+        service="",
+        state=membership.MemberState.ALIVE,
+        version=1,
+        changed_at=_timers(built).now(),
+    )
+    return membership.Membership(
+        own,
+        membership.Needs(
+            links=built.get("links", peers.Links),
+            loads=built.get("loads", membership.LoadBoard),
+            timers=_timers(built),
+            counters=_counters(built),
+            next_id=identity.next_id,
+            rng=identity.rng,
+        ),
+    )
+
+
+@kernel.plugin("store", ("settings", "telemetry"))
+def _build_store(built: kernel.Kernel) -> object:
+    url = _settings(built).store_url
+    counters = _counters(built)
+    counters.declare(STORE_CALLS, "Calls to the store", "operation")
+    if not url:
+        return None
+    return store.HttpStore(
+        url, lambda operation: counters.add(STORE_CALLS, operation)
+    )
+
+
+@kernel.plugin(
+    "configuration",
+    ("links", "membership", "store", "endpoint", "timers", "telemetry"),
+)
+def _build_configuration(built: kernel.Kernel) -> object:
+    config = configuration.Configuration(
+        configuration.Needs(
+            links=built.get("links", peers.Links),
+            members=built.get("membership", membership.Membership),
+            store=cast("store.Store | None", built.get("store", object)),
+            timers=_timers(built),
+            counters=_counters(built),
+            next_id=_identity(built).next_id,
+        )
+    )
+    endpoint = built.get("endpoint", peers.Endpoint)
+
+    def give_manifest(inbound: peers.Inbound) -> None:
+        found = config.in_force
+        if found is None:
+            return
+        endpoint.reply(
+            inbound.route,
+            peers.MessageType.MANIFEST,
+            {
+                "id": inbound.message["id"],
+                "rev": found.revision,
+                "digest": found.digest,
+            },
+            found.stored,
+        )
+
+    endpoint.on(peers.MessageType.FETCH, give_manifest)
+    return config
+
+
+@kernel.plugin("first-contact", ("settings", "store", "membership", "timers"))
+def _build_first_contact(built: kernel.Kernel) -> object:
+    return _first_contact.FirstContact(
+        _first_contact.Needs(
+            cfg=_settings(built),
+            store=cast("store.Store | None", built.get("store", object)),
+            members=built.get("membership", membership.Membership),
+            timers=_timers(built),
+        )
+    )
+
+
+@kernel.plugin("wire", ("configuration", "identity", "timers"))
+def _build_wire(built: kernel.Kernel) -> object:
+    identity = _identity(built)
+    return _wire.Wire(
+        identity.incarnation,
+        identity.next_id,
+        _timers(built).now,
+        built.get("configuration", configuration.Configuration),
+    )
+
+
+@kernel.plugin(
+    "upstream",
+    ("settings", "configuration", "membership", "loads", "telemetry"),
+)
+def _build_upstream(built: kernel.Kernel) -> object:
+    return _upstream.Upstream(
+        _upstream.Needs(
+            cfg=_settings(built),
+            config=built.get("configuration", configuration.Configuration),
+            members=built.get("membership", membership.Membership),
+            loads=built.get("loads", membership.LoadBoard),
+            timers=_timers(built),
+            counters=_counters(built),
+            incarnation=_identity(built).incarnation,
+        )
+    )
+
+
+@kernel.plugin("inbound", ("endpoint", "upstream", "wire", "membership"))
+def _build_inbound(built: kernel.Kernel) -> object:
+    return _inbound.Inbound(
+        _inbound.Needs(
+            endpoint=built.get("endpoint", peers.Endpoint),
+            upstream=built.get("upstream", _upstream.Upstream),
+            members=built.get("membership", membership.Membership),
+            loads=built.get("loads", membership.LoadBoard),
+            wire=built.get("wire", _wire.Wire),
+            timers=_timers(built),
+            counters=_counters(built),
+            incarnation=_identity(built).incarnation,
+        )
+    )
+
+
+@kernel.plugin("routing", ("upstream", "wire", "links", "loads"))
+def _build_routing(built: kernel.Kernel) -> object:
+    timers = _timers(built)
+    return _router.Router(
+        _router.Needs(
+            cfg=_settings(built),
+            config=built.get("configuration", configuration.Configuration),
+            members=built.get("membership", membership.Membership),
+            loads=built.get("loads", membership.LoadBoard),
+            links=built.get("links", peers.Links),
+            upstream=built.get("upstream", _upstream.Upstream),
+            health=_health.Health(timers.now),
+            timers=timers,
+            counters=_counters(built),
+            wire=built.get("wire", _wire.Wire),
+            rng=_identity(built).rng,
+        )
+    )
+
+
+@kernel.plugin(
+    "front", ("routing", "upstream", "inbound", "first-contact", "stop")
+)
+def _build_front(built: kernel.Kernel) -> object:
+    upstream = built.get("upstream", _upstream.Upstream)
+    identity = _identity(built)
+    timers = _timers(built)
+    config = built.get("configuration", configuration.Configuration)
+    first_contact = built.get("first-contact", _first_contact.FirstContact)
+    control = _control.Control(
+        _control.Needs(
+            cfg=_settings(built),
+            keys=built.get("keys", peers.PeerKeys),
+            config=config,
+            members=built.get("membership", membership.Membership),
+            upstream=upstream,
+            counters=_counters(built),
+            ask_outcome=upstream.outcomes.ask,
+            request_stop=built.get("stop", gevent.event.Event).set,
+            contact=first_contact.add_seed,
+        )
+    )
+    return _front.Front(
+        _front.Needs(
+            cfg=_settings(built),
+            config=config,
+            entry=_entry.Entry(
+                identity.incarnation,
+                upstream.in_flight,
+                timers.now,
+                identity.next_id,
+            ),
+            router=built.get("routing", _router.Router),
+            control=control,
+            timers=timers,
+            counters=_counters(built),
+            rng=identity.rng,
+        )
+    )
--- /dev/null
+++ b/flamingolug/node/_program.py
@@ -0,0 +1,122 @@
+"""The program `flamingolug-node`."""
+
+import logging
+import os
+import signal
+import sys
+import time
+from typing import ClassVar
+
+import cleo.application
+import cleo.commands.command
+import cleo.helpers
+import gevent
+from gevent import event
+
+from flamingolug import errors
+from flamingolug import kernel
+from flamingolug import membership
+from flamingolug import settings
+from flamingolug import telemetry
+from flamingolug import timing
+from flamingolug.node import _front
+from flamingolug.node import _inbound
+from flamingolug.node import _plugins
+from flamingolug.node import _upstream
+
+_LOGGER = logging.getLogger(__name__)
+EXIT_OK = 0
+EXIT_BAD_SETTINGS = 2
+#: Seconds between saying that the node leaves and closing its ports.
+LEAVE_NOTICE_S = 1.0
+_POLL_S = 0.02
+_INCARNATION_SHIFT = 12
+
+
+def new_incarnation() -> int:
+    """Returns a number above that of any earlier run of this node."""
+    random_bits = int.from_bytes(os.urandom(2), "big") >> 4
+    return (int(time.time() * 1000) << _INCARNATION_SHIFT) | random_bits
+
+
+def run(cfg: settings.Settings) -> int:
+    """Runs a node until SIGTERM or SIGINT; returns the exit code."""
+    stop = event.Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    gevent.signal_handler(signal.SIGINT, stop.set)
+    built = kernel.Kernel(
+        kernel.registered(),
+        {
+            "settings": cfg,
+            "timers": timing.GeventTimers(),
+            "identity": _plugins.Identity(new_incarnation()),
+            "stop": stop,
+        },
+    )
+    built.start()
+    telemetry.event(
+        _LOGGER,
+        "node.started",
+        http=cfg.http_address,
+        peer_address=cfg.peer_address,
+        zone=cfg.availability_zone,
+    )
+    stop.wait()
+    _stop(built, cfg)
+    return EXIT_OK
+
+
+def _stop(built: kernel.Kernel, cfg: settings.Settings) -> None:
+    """Leaves the fleet without interrupting a request in progress."""
+    front = built.get("front", _front.Front)
+    inbound = built.get("inbound", _inbound.Inbound)
+    upstream = built.get("upstream", _upstream.Upstream)
+    members = built.get("membership", membership.Membership)
+    telemetry.event(_LOGGER, "node.stopping")
+    deadline = time.monotonic() + cfg.drain_timeout_s
+    upstream.withdraw()
+    front.server.announce_stop()
+    members.leave()
+    gevent.sleep(min(LEAVE_NOTICE_S, cfg.drain_timeout_s))
+    while inbound.is_busy() or upstream.is_busy():
+        if time.monotonic() > deadline:
+            break
+        gevent.sleep(_POLL_S)
+    cut_off = front.server.stop(max(deadline - time.monotonic(), 0.0))
+    built.stop()
+    telemetry.event(_LOGGER, "node.stopped", cut_off=cut_off)
+
+
+class _NodeCommand(cleo.commands.command.Command):
+    """Runs a node."""
+
+    name = "run"
+    description = "Runs a node with the settings in a YAML file."
+    arguments: ClassVar = [
+        cleo.helpers.argument("settings", "path of the settings file")
+    ]
+    options: ClassVar = [
+        cleo.helpers.option(
+            "check", None, "check the settings and exit", flag=True
+        )
+    ]
+
+    def handle(self) -> int:
+        """Checks the settings, then runs until it is told to stop."""
+        try:
+            cfg = settings.load_file(self.argument("settings"))
+        except errors.ConfigurationError as exc:
+            self.line_error(str(exc))
+            return EXIT_BAD_SETTINGS
+        if self.option("check"):
+            self.line("settings are valid")
+            return EXIT_OK
+        telemetry.configure(cfg.log_level, cfg.name)
+        return run(cfg)
+
+
+def main() -> None:
+    """Entry point of `flamingolug-node`."""
+    app = cleo.application.Application("flamingolug-node", "0.1.0")
+    app.add(_NodeCommand())
+    sys.exit(app.run())
--- /dev/null
+++ b/flamingolug/node/_upstream.py
@@ -0,0 +1,283 @@
+"""The backend server beside this node: announcement, admission, exchange."""
+
+import logging
+from typing import NamedTuple
+
+from flamingolug import calls
+from flamingolug import configuration
+from flamingolug import errors
+from flamingolug import manifest
+from flamingolug import membership
+from flamingolug import peers
+from flamingolug import policy
+from flamingolug import settings
+from flamingolug import telemetry
+from flamingolug import timing
+from flamingolug import web
+from flamingolug.node import _admission
+from flamingolug.node import _inflight
+from flamingolug.node import _outcomes
+
+_LOGGER = logging.getLogger(__name__)
+REFUSALS = "flamingolug.refusals"
+SERVED = "flamingolug.upstream.calls"
+CUTOFF_INTERVAL_S = 0.1
+LIMIT_INTERVAL_S = 0.2
+FORGET_INTERVAL_S = 10.0
+#: Seconds an announcement holds when it names no other time.
+ANNOUNCEMENT_S = 10.0
+#: Members told at once that the backend server comes or goes.
+PUSH_COUNT = 8
+
+
+class Announcement(NamedTuple):
+    """What a backend server says of itself."""
+
+    service: str
+    address: settings.Address
+    slots: int
+    connections: int
+
+
+class Needs(NamedTuple):
+    """What the upstream works with."""
+
+    cfg: settings.Settings
+    config: configuration.Configuration
+    members: membership.Membership
+    loads: membership.LoadBoard
+    timers: timing.Timers
+    counters: telemetry.Counters
+    incarnation: int
+
+
+class Upstream:
+    """Runs calls on the backend server beside this node."""
+
+    def __init__(self, needs: Needs) -> None:
+        """Starts without a backend server."""
+        needs.counters.declare(
+            REFUSALS, "Calls refused before they ran", "reason", "step"
+        )
+        needs.counters.declare(
+            SERVED, "Calls given to the backend server", "verdict"
+        )
+        self.announced: Announcement | None = None
+        self.leaving = False
+        self.in_flight = _inflight.InFlight(needs.incarnation, needs.timers.now)
+        self.outcomes = _outcomes.Outcomes(needs.timers.now)
+        self.admission = _admission.Admission(
+            policy.initial_limit(1, 1), 1, needs.timers.now
+        )
+        self._needs = needs
+        self._pool: web.Pool | None = None
+        self._expires_at = 0.0
+        needs.loads.set_source(self.report)
+        needs.config.subscribe(self._new_manifest)
+
+    def start(self) -> None:
+        """Begins the periodic updates."""
+        timers = self._needs.timers
+        timers.every(CUTOFF_INTERVAL_S, self._update_cutoff)
+        timers.every(LIMIT_INTERVAL_S, self._update_limit)
+        timers.every(FORGET_INTERVAL_S, self.outcomes.forget_old)
+
+    def announce(self, announced: Announcement, hold_s: float) -> None:
+        """Takes in an announcement, first or repeated."""
+        now = self._needs.timers.now()
+        self._expires_at = now + hold_s
+        if announced == self.announced:
+            return
+        self.announced = announced
+        self.leaving = False
+        self._pool = web.Pool(
+            announced.address.host,
+            announced.address.port,
+            announced.connections,
+        )
+        self.admission = _admission.Admission(
+            policy.initial_limit(announced.slots, announced.connections),
+            self._top(),
+            now=self._needs.timers.now,
+        )
+        telemetry.event(
+            _LOGGER,
+            "upstream.announced",
+            service=announced.service,
+            peer=announced.address,
+            slots=announced.slots,
+        )
+        self._needs.members.update_own(service=announced.service)
+        self._needs.members.push_some(PUSH_COUNT)
+
+    def withdraw(self) -> None:
+        """Takes no new work from now on; calls that wait are refused."""
+        if self.leaving or self.announced is None:
+            return
+        self.leaving = True
+        telemetry.event(
+            _LOGGER, "upstream.leaving", service=self.announced.service
+        )
+        self.admission.close(telemetry.Refusal.LEAVING)
+        self._needs.members.update_own(service="")
+        self._needs.members.push_some(PUSH_COUNT)
+
+    def is_busy(self) -> bool:
+        """Returns whether calls run or wait."""
+        return bool(self.admission.running or self.admission.waiting)
+
+    def report(self) -> peers.LoadReport:
+        """Returns the load report of this node."""
+        own = self._needs.members.table.own
+        found = self._needs.config.in_force
+        revision = found.revision if found else 0
+        report = membership.new_report(
+            own.name,
+            own.incarnation,
+            limit=int(self.admission.limit.limit),
+            running=self.admission.running,
+            waiting=self.admission.waiting,
+            cutoff=self.admission.cutoff,
+            revision=revision,
+            leaving=self.leaving or self.announced is None,
+        )
+        report["deep"] = self._needs.loads.deep_levels(revision)
+        return report
+
+    def serve(self, call: calls.Call) -> calls.Outcome:
+        """Runs a call, at most once for a keyed non-idempotent one."""
+        if self._needs.cfg.control == "none":
+            return self._run(call)
+        if call.non_idempotent and call.key:
+            return self.outcomes.run(call, self._serve_counted)
+        return self._serve_counted(call)
+
+    def _serve_counted(self, call: calls.Call) -> calls.Outcome:
+        outcome = self._serve(call)
+        if outcome.verdict is calls.Verdict.NOT_RUN:
+            self._needs.counters.add(REFUSALS, outcome.reason, outcome.step)
+        return outcome
+
+    def _serve(self, call: calls.Call) -> calls.Outcome:
+        """Waits for a slot and runs the call."""
+        own = self._needs.cfg.name
+        announced = self.announced
+        if announced is None or announced.service != call.service:
+            return calls.not_run(telemetry.Refusal.NO_UPSTREAM, "upstream", own)
+        if self.leaving:
+            return calls.not_run(telemetry.Refusal.LEAVING, "upstream", own)
+        admission = self.admission
+        expected_s = self._expected_s(call)
+        try:
+            admission.enter(call.kind, call.level, call.deadline, expected_s)
+        except errors.RefusedError as exc:
+            return calls.not_run(telemetry.Refusal(exc.reason), exc.step, own)
+        began = self._needs.timers.now()
+        own_s: float | None = None
+        try:
+            outcome, own_s = self._run_timed(call)
+        finally:
+            admission.leave(call.kind, self._needs.timers.now() - began, own_s)
+        return outcome
+
+    def _run(self, call: calls.Call) -> calls.Outcome:
+        return self._run_timed(call)[0]
+
+    def _run_timed(
+        self, call: calls.Call
+    ) -> tuple[calls.Outcome, float | None]:
+        """Runs the call; returns its own time too, None when it failed."""
+        began = self._needs.timers.now()
+        parent = self.in_flight.open(call)
+        own_s: float | None = None
+        try:
+            outcome = self._exchange(call, parent)
+            if outcome.verdict is calls.Verdict.ANSWERED:
+                took_s = self._needs.timers.now() - began
+                own_s = max(took_s - parent.busy_s(), 0.0)
+        finally:
+            self.in_flight.close(parent)
+        self._needs.counters.add(SERVED, str(outcome.verdict))
+        return outcome, own_s
+
+    def _exchange(
+        self, call: calls.Call, parent: _inflight.Parent
+    ) -> calls.Outcome:
+        """Gives the call to the backend server and reads its answer."""
+        assert self._pool is not None
+        left_s = call.deadline - self._needs.timers.now()
+        headers = [
+            *call.headers,
+            (calls.HEADER_CONTEXT, parent.token),
+            (calls.HEADER_REQUEST, call.root_id),
+            (calls.HEADER_KIND, call.kind),
+            (calls.HEADER_DEADLINE, str(max(int(left_s * 1000.0), 1))),
+        ]
+        try:
+            reply = web.exchange(
+                self._pool,
+                call.method,
+                call.target,
+                headers,
+                call.body,
+                timeout_s=max(left_s, 0.001),
+                max_body_bytes=self._needs.cfg.max_response_body_bytes,
+            )
+        except errors.BackendError as exc:
+            return self._failed(exc, parent)
+        except errors.BodyTooLargeError as exc:
+            return calls.unknown(
+                "response-too-large",
+                exc.step,
+                exc.peer,
+                parent.attempts_used(),
+            )
+        used = parent.attempts_used()
+        if reply.header(calls.HEADER_OUTCOME) == str(calls.Verdict.NOT_RUN):
+            return calls.not_run(
+                telemetry.Refusal.BACKEND_SHED, "backend", self._pool.peer, used
+            )
+        return calls.answered(
+            reply.status,
+            calls.forwardable(reply.headers),
+            reply.body,
+            used,
+        )
+
+    def _failed(
+        self, exc: errors.BackendError, parent: _inflight.Parent
+    ) -> calls.Outcome:
+        """Returns the outcome of an exchange without a whole answer."""
+        used = parent.attempts_used()
+        if not exc.sent:
+            return calls.not_run(
+                telemetry.Refusal.UNREACHABLE, exc.step, exc.peer, used
+            )
+        return calls.unknown(exc.message, exc.step, exc.peer, used)
+
+    def _expected_s(self, call: calls.Call) -> float:
+        found = self._needs.config.in_force
+        if found is None or call.kind not in found.manifest.kinds:
+            return manifest.DEFAULT_SERVICE_TIME_MS / 1000.0
+        return found.manifest.kinds[call.kind].service_time_ms / 1000.0
+
+    def _update_cutoff(self) -> None:
+        self.admission.update_cutoff()
+        if self.announced is None or self.leaving:
+            return
+        if self._needs.timers.now() > self._expires_at:
+            telemetry.event(
+                _LOGGER, "upstream.expired", service=self.announced.service
+            )
+            self.withdraw()
+            self.announced = None
+
+    def _update_limit(self) -> None:
+        self.admission.update_limit()
+
+    def _top(self) -> int:
+        found = self._needs.config.in_force
+        return found.ladder.top if found else 1
+
+    def _new_manifest(self, found: configuration.InForce) -> None:
+        self.admission.set_top(found.ladder.top)
--- /dev/null
+++ b/flamingolug/node/_wire.py
@@ -0,0 +1,122 @@
+"""Calls and outcomes as messages between nodes."""
+
+from collections.abc import Callable
+
+from flamingolug import calls
+from flamingolug import configuration
+from flamingolug import manifest
+from flamingolug import peers
+
+
+class Wire:
+    """Translates between calls and messages."""
+
+    def __init__(
+        self,
+        incarnation: int,
+        next_id: Callable[[], int],
+        now: Callable[[], float],
+        config: configuration.Configuration,
+    ) -> None:
+        """Creates a translator for one node."""
+        self._incarnation = incarnation
+        self._next_id = next_id
+        self._now = now
+        self._config = config
+
+    def call_message(self, call: calls.Call, to: int) -> peers.CallMessage:
+        """Returns the message for a call to incarnation `to`."""
+        found = self._config.in_force
+        return {
+            "id": self._next_id(),
+            "org": self._incarnation,
+            "to": to,
+            "root": call.root_id,
+            "rkind": call.root_kind,
+            "kind": call.kind,
+            "depth": call.depth,
+            "spread": call.spread,
+            "method": call.method,
+            "path": call.target,
+            "headers": list(call.headers),
+            "key": call.key,
+            "caller": call.caller,
+            "left": (call.deadline - self._now()) * 1000.0,
+            "share": call.allowance,
+            "rev": found.revision if found else 0,
+        }
+
+    def call(
+        self, message: peers.CallMessage, body: bytes
+    ) -> calls.Call | None:
+        """Returns the call in a message, None when its kind is unknown."""
+        found = self._config.in_force
+        if found is None:
+            return None
+        kind = found.manifest.kinds.get(message["kind"])
+        if kind is None:
+            return None
+        return calls.Call(
+            root_id=message["root"],
+            root_kind=message["rkind"],
+            kind=kind.name,
+            service=kind.service,
+            depth=message["depth"],
+            level=level_of(
+                found, message["rkind"], message["depth"], message["spread"]
+            ),
+            spread=message["spread"],
+            method=message["method"],
+            target=message["path"],
+            headers=tuple((name, value) for name, value in message["headers"]),
+            body=body,
+            key=message["key"],
+            caller=message["caller"],
+            deadline=self._now() + message["left"] / 1000.0,
+            allowance=message["share"],
+            non_idempotent=kind.non_idempotent,
+        )
+
+    def answer(
+        self, number: int, outcome: calls.Outcome, load: peers.LoadReport
+    ) -> peers.AnswerMessage:
+        """Returns the message for the outcome of call `number`."""
+        return {
+            "id": number,
+            "verdict": str(outcome.verdict),
+            "reason": outcome.reason,
+            "step": outcome.step,
+            "peer": outcome.peer,
+            "status": outcome.status,
+            "headers": list(outcome.headers),
+            "used": outcome.attempts,
+            "load": load,
+        }
+
+    def outcome(
+        self, message: peers.AnswerMessage, body: bytes
+    ) -> calls.Outcome:
+        """Returns the outcome in a message."""
+        return calls.Outcome(
+            verdict=calls.Verdict(message["verdict"]),
+            attempts=message["used"],
+            status=message["status"],
+            headers=tuple((name, value) for name, value in message["headers"]),
+            body=body,
+            reason=message["reason"],
+            step=message["step"],
+            peer=message["peer"],
+        )
+
+
+def level_of(
+    found: configuration.InForce, root_kind: str, depth: int, spread: int
+) -> int:
+    """Returns the shedding level of a call.
+
+    A root kind that this node's manifest does not know, while a change
+    spreads, counts as the least important.
+    """
+    if root_kind not in found.ladder.fresh:
+        return found.ladder.top - manifest.SPREAD_STEPS + spread
+    return found.ladder.level(root_kind, depth > 0, spread)
--- /dev/null
+++ b/flamingolug/peers/__init__.py
@@ -0,0 +1,49 @@
+"""Links between nodes: authenticated messages over ZeroMQ."""
+
+from flamingolug.peers._endpoint import Endpoint
+from flamingolug.peers._endpoint import Inbound
+from flamingolug.peers._keys import derive_keys
+from flamingolug.peers._keys import PeerKeys
+from flamingolug.peers._link import Link
+from flamingolug.peers._link import LinkOptions
+from flamingolug.peers._link import Links
+from flamingolug.peers._link import make_id_source
+from flamingolug.peers._messages import AnswerMessage
+from flamingolug.peers._messages import CallMessage
+from flamingolug.peers._messages import CancelMessage
+from flamingolug.peers._messages import decode
+from flamingolug.peers._messages import encode
+from flamingolug.peers._messages import FetchMessage
+from flamingolug.peers._messages import LoadReport
+from flamingolug.peers._messages import ManifestMessage
+from flamingolug.peers._messages import MemberMessage
+from flamingolug.peers._messages import MessageType
+from flamingolug.peers._messages import OutcomeMessage
+from flamingolug.peers._messages import PingMessage
+from flamingolug.peers._messages import SettledMessage
+from flamingolug.peers._messages import SettleMessage
+
+__all__ = [
+    "AnswerMessage",
+    "CallMessage",
+    "CancelMessage",
+    "Endpoint",
+    "FetchMessage",
+    "Inbound",
+    "Link",
+    "LinkOptions",
+    "Links",
+    "LoadReport",
+    "ManifestMessage",
+    "MemberMessage",
+    "MessageType",
+    "OutcomeMessage",
+    "PeerKeys",
+    "PingMessage",
+    "SettleMessage",
+    "SettledMessage",
+    "decode",
+    "derive_keys",
+    "encode",
+    "make_id_source",
+]
--- /dev/null
+++ b/flamingolug/peers/_endpoint.py
@@ -0,0 +1,142 @@
+"""Listening side of the peer links."""
+
+import logging
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import gevent
+import zmq
+from zmq.utils import monitor as zmq_monitor
+
+from flamingolug import errors
+from flamingolug import telemetry
+from flamingolug.peers import _keys
+from flamingolug.peers import _messages
+from flamingolug.peers import _socket
+
+_LOGGER = logging.getLogger(__name__)
+#: Messages that may wait for one peer inside the library.
+SEND_QUEUE_MESSAGES = 1_000
+#: Largest frame accepted; the library drops the connection beyond it.
+MAX_FRAME_BYTES = 68_000_000
+#: Seconds between two log lines about bad messages.
+LOG_INTERVAL_S = 10.0
+REFUSED_MESSAGES = "flamingolug.peer.messages.refused"
+_HANDSHAKE_FAILURES = (
+    zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
+    | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
+    | zmq.EVENT_HANDSHAKE_FAILED_AUTH
+)
+
+
+class Inbound(NamedTuple):
+    """A message from a peer, with the route for answers."""
+
+    route: bytes
+    kind: _messages.MessageType
+    message: Any
+    body: bytes
+
+
+class Endpoint:
+    """Receives messages of all peers and hands them to handlers."""
+
+    def __init__(
+        self,
+        context: "zmq.Context[zmq.Socket[bytes]]",
+        address: str,
+        keys: _keys.PeerKeys,
+        counters: telemetry.Counters,
+        now: Callable[[], float],
+    ) -> None:
+        """Binds `address`, an IP address and port."""
+        counters.declare(
+            REFUSED_MESSAGES, "Peer messages refused, by reason", "reason"
+        )
+        self._counters = counters
+        self._now = now
+        self._handlers: dict[
+            _messages.MessageType, Callable[[Inbound], None]
+        ] = {}
+        self._logged_at = -LOG_INTERVAL_S
+        sock = context.socket(zmq.ROUTER)
+        sock.setsockopt(zmq.LINGER, 0)
+        sock.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        sock.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        sock.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        sock.setsockopt(zmq.CURVE_SERVER, 1)
+        sock.setsockopt(zmq.CURVE_SECRETKEY, keys.secret)
+        sock.setsockopt(zmq.CURVE_PUBLICKEY, keys.public)
+        monitor = sock.get_monitor_socket(_HANDSHAKE_FAILURES)
+        sock.bind(f"tcp://{address}")
+        self._sock = _socket.GreenSocket(sock)
+        self._monitor = _socket.GreenSocket(monitor)
+
+    def on(
+        self,
+        kind: _messages.MessageType,
+        handler: Callable[[Inbound], None],
+    ) -> None:
+        """Makes `handler` receive messages of one type; it must not block."""
+        self._handlers[kind] = handler
+
+    def start(self) -> None:
+        """Begins to receive."""
+        gevent.spawn(self._receive)
+        gevent.spawn(self._watch_handshakes)
+
+    def stop(self) -> None:
+        """Closes the endpoint."""
+        self._sock.close()
+        self._monitor.close()
+
+    def reply(
+        self,
+        route: bytes,
+        kind: _messages.MessageType,
+        message: _messages.Message,
+        body: bytes = b"",
+    ) -> bool:
+        """Sends an answer; False when the peer's connection is gone."""
+        return self._sock.send([route, *_messages.encode(kind, message, body)])
+
+    def _receive(self) -> None:
+        while True:
+            frames = self._sock.receive()
+            if frames is None:
+                return
+            try:
+                kind, message, body = _messages.decode(frames[1:])
+                handler = self._handlers.get(kind)
+                if handler is None:
+                    raise errors.CodecError(
+                        f"unexpected {kind.name}", step="peer.receive"
+                    )
+                handler(Inbound(frames[0], kind, message, body))
+            except errors.CodecError as exc:
+                self._refuse("malformed", exc)
+            except Exception as exc:
+                self._refuse("handler", exc)
+
+    def _watch_handshakes(self) -> None:
+        while True:
+            frames = self._monitor.receive()
+            if frames is None:
+                return
+            notice = zmq_monitor.parse_monitor_message(frames)
+            if notice["event"] & _HANDSHAKE_FAILURES:
+                self._refuse("handshake", "the peer does not hold our key")
+
+    def _refuse(self, reason: str, error: object) -> None:
+        self._counters.add(REFUSED_MESSAGES, reason)
+        if self._now() - self._logged_at < LOG_INTERVAL_S:
+            return
+        self._logged_at = self._now()
+        telemetry.event(
+            _LOGGER,
+            "peer.refused",
+            level=logging.WARNING,
+            reason=reason,
+            error=error,
+        )
--- /dev/null
+++ b/flamingolug/policy/_ownership.py
@@ -0,0 +1,20 @@
+"""Which upstream owns an idempotency key, by rendezvous hashing."""
+
+import hashlib
+from collections.abc import Iterable
+
+
+def owner_of(key: str, names: Iterable[str]) -> str | None:
+    """Returns the owner of `key` among `names`, None when there are none.
+
+    The choice depends on nothing but its arguments, and a name that leaves
+    moves only the keys that it owned.
+    """
+    best: tuple[bytes, str] | None = None
+    for name in names:
+        weight = hashlib.blake2b(
+            f"{name}\n{key}".encode(), digest_size=8
+        ).digest()
+        if best is None or (weight, name) > best:
+            best = (weight, name)
+    return best[1] if best else None
--- /dev/null
+++ b/flamingolug/policy/tests/test_properties.py
@@ -0,0 +1,248 @@
+"""Invariants of the decisions, checked over generated inputs."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from flamingolug import policy
+from flamingolug.telemetry import _names
+
+hypothesis.settings.register_profile(
+    "ci", derandomize=True, deadline=None, max_examples=200
+)
+hypothesis.settings.load_profile("ci")
+_COUNT = strategies.integers(0, 60)
+
+
+class AllowanceTest(unittest.TestCase):
+    @hypothesis.given(_COUNT, strategies.integers(1, 20), _COUNT)
+    def test_share_is_covered_by_what_is_held(
+        self, held: int, needed: int, retries: int
+    ) -> None:
+        share = policy.share_for_attempt(held, needed, retries)
+        self.assertLessEqual(share, held)
+        self.assertTrue(share == 0 or share >= needed)
+
+    @hypothesis.given(
+        strategies.integers(1, 100),
+        strategies.lists(strategies.integers(1, 5), max_size=15),
+        strategies.randoms(use_true_random=False),
+    )
+    def test_attempts_never_pass_the_bound(
+        self, bound: int, needs: list[int], rng: random.Random
+    ) -> None:
+        """Shares are disjoint down a chain, whatever is lost on the way."""
+        held = bound
+        spent = 0
+        for needed in needs:
+            share = policy.share_for_attempt(held, needed, 2)
+            if share == 0:
+                continue
+            lost = rng.random() < 0.5
+            used = share if lost else rng.randint(1, share)
+            held -= used
+            spent += used
+        self.assertLessEqual(spent, bound)
+        self.assertEqual(spent + held, bound)
+
+    @hypothesis.given(_COUNT, _COUNT, strategies.lists(_COUNT, max_size=8))
+    def test_children_get_no_more_than_is_held(
+        self, held: int, needed: int, later: list[int]
+    ) -> None:
+        share = policy.reserve_for_children(held, needed, later)
+        self.assertLessEqual(share, held)
+        self.assertGreaterEqual(share, min(held, needed))
+
+
+class LimitTest(unittest.TestCase):
+    @hypothesis.given(
+        strategies.integers(1, 100),
+        strategies.integers(1, 100),
+        strategies.lists(
+            strategies.tuples(
+                strategies.none() | strategies.floats(0.1, 50.0),
+                strategies.booleans(),
+            ),
+            max_size=60,
+        ),
+    )
+    def test_limit_stays_between_one_and_the_ceiling(
+        self,
+        slots: int,
+        connections: int,
+        windows: list[tuple[float | None, bool]],
+    ) -> None:
+        state = policy.initial_limit(slots, connections)
+        for inflation, used_up in windows:
+            state = policy.next_limit(state, inflation, used_up)
+            self.assertGreaterEqual(state.limit, 1.0)
+            self.assertLessEqual(state.limit, min(slots, connections))
+
+
+class CutoffTest(unittest.TestCase):
+    @hypothesis.given(
+        strategies.dictionaries(
+            strategies.integers(0, 500), strategies.integers(1, 50)
+        ),
+        _COUNT,
+        _COUNT,
+    )
+    def test_a_window_without_shedding_never_lowers_it(
+        self, offered: dict[int, int], started: int, cutoff: int
+    ) -> None:
+        before = policy.CutoffState(cutoff, 2)
+        window = policy.Window(offered, started, 0, False)
+        after = policy.next_cutoff(before, window, 512)
+        self.assertGreaterEqual(after.cutoff, min(cutoff, 512))
+
+    @hypothesis.given(
+        strategies.dictionaries(
+            strategies.integers(0, 500),
+            strategies.integers(1, 50),
+            min_size=1,
+        ),
+        _COUNT,
+        strategies.integers(1, 50),
+    )
+    def test_what_was_started_stays_admitted(
+        self, offered: dict[int, int], started: int, shed: int
+    ) -> None:
+        """The most important calls, as many as started, pass the cutoff."""
+        total = sum(offered.values())
+        started = min(started, total)
+        window = policy.Window(offered, started, shed, True)
+        after = policy.next_cutoff(policy.CutoffState(512, 2), window, 512)
+        admitted = sum(
+            count for level, count in offered.items() if level <= after.cutoff
+        )
+        self.assertGreaterEqual(admitted, started)
+
+
+class RetryTest(unittest.TestCase):
+    @hypothesis.given(
+        strategies.booleans(),
+        strategies.booleans(),
+        strategies.booleans(),
+        _COUNT,
+        strategies.integers(1, 10),
+        strategies.booleans(),
+        strategies.floats(-1.0, 1.0),
+    )
+    def test_what_may_have_run_is_not_sent_again_unless_idempotent(
+        self,
+        final: bool,
+        failed: bool,
+        non_idempotent: bool,
+        held: int,
+        needed: int,
+        budget_left: bool,
+        time_left_s: float,
+    ) -> None:
+        decision = policy.decide_retry(
+            policy.RetryQuestion(
+                not_run=False,
+                unreachable=False,
+                final=final,
+                failed=failed,
+                non_idempotent=non_idempotent,
+                held=held,
+                needed=needed,
+                budget_left=budget_left,
+                time_left_s=time_left_s,
+                time_needed_s=0.0,
+            )
+        )
+        self.assertNotEqual(decision.retry is None, decision.denied is None)
+        if decision.retry is None:
+            return
+        self.assertFalse(non_idempotent)
+        self.assertGreaterEqual(held, needed)
+        self.assertTrue(budget_left)
+
+
+class RoutingTest(unittest.TestCase):
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.booleans(),
+                strategies.floats(0.0, 5.0),
+                strategies.integers(0, 100),
+                strategies.booleans(),
+                strategies.booleans(),
+            ),
+            max_size=8,
+        ),
+        strategies.integers(0, 100),
+        strategies.integers(0, 1000),
+    )
+    def test_choice_admits_the_call_and_is_not_leaving(
+        self,
+        shapes: list[tuple[bool, float, int, bool, bool]],
+        level: int,
+        seed: int,
+    ) -> None:
+        candidates = [
+            policy.Candidate(f"u{index}", *shape)
+            for index, shape in enumerate(shapes)
+        ]
+        choice = policy.choose_upstream(
+            candidates, level, frozenset(), random.Random(seed)
+        )
+        by_name = {each.name: each for each in candidates}
+        if choice.name is None:
+            self.assertIsNotNone(choice.refusal)
+            return
+        chosen = by_name[choice.name]
+        self.assertFalse(chosen.leaving)
+        self.assertLessEqual(level, chosen.cutoff)
+
+    def test_own_zone_first_and_spill_when_busy(self) -> None:
+        cases = {
+            "own zone idle": (0.2, 0.0, "own"),
+            "own zone busy, other free": (1.5, 0.1, "other"),
+            "both busy": (1.5, 1.4, "own"),
+        }
+        for name, (own_load, other_load, expected) in cases.items():
+            with self.subTest(name):
+                choice = policy.choose_upstream(
+                    [
+                        policy.Candidate(
+                            "own", True, own_load, 9, False, False
+                        ),
+                        policy.Candidate(
+                            "other", False, other_load, 9, False, False
+                        ),
+                    ],
+                    1,
+                    frozenset(),
+                    random.Random(1),
+                )
+                self.assertEqual(choice.name, expected)
+
+    def test_level_above_every_cutoff_is_refused_as_level(self) -> None:
+        choice = policy.choose_upstream(
+            [policy.Candidate("a", True, 0.0, 5, False, False)],
+            6,
+            frozenset(),
+            random.Random(1),
+        )
+        self.assertEqual(choice.refusal, _names.Refusal.LEVEL)
+
+
+class OwnershipTest(unittest.TestCase):
+    @hypothesis.given(
+        strategies.text(max_size=20),
+        strategies.sets(strategies.text(min_size=1, max_size=8), max_size=8),
+    )
+    def test_a_leaving_name_moves_only_its_own_keys(
+        self, key: str, names: set[str]
+    ) -> None:
+        owner = policy.owner_of(key, sorted(names))
+        for gone in names:
+            if gone == owner:
+                continue
+            self.assertEqual(
+                policy.owner_of(key, sorted(names - {gone})), owner
+            )
--- /dev/null
+++ b/flamingolug/store/_http.py
@@ -0,0 +1,109 @@
+"""Store client over HTTP.
+
+`GET /v1/kv/KEY?known=V&wait=S` reads or watches, `PUT /v1/kv/KEY?expected=V`
+swaps. The version travels in the header `Store-Version`.
+"""
+
+import urllib.parse
+from collections.abc import Callable
+
+from flamingolug import errors
+from flamingolug import web
+from flamingolug.store import _interface
+
+CALL_TIMEOUT_S = 2.0
+#: Seconds added to a watch for the answer to travel.
+WATCH_SLACK_S = 2.0
+#: Largest value that the service holds.
+MAX_VALUE_BYTES = 1_048_576
+_CONFLICT = 409
+
+
+class HttpStore:
+    """The key-value service at one base URL."""
+
+    def __init__(
+        self, url: str, on_call: Callable[[str], None] = lambda purpose: None
+    ) -> None:
+        """Creates a client.
+
+        Args:
+            url: base URL such as `http://127.0.0.1:7000`.
+            on_call: told the operation of each call, for counting.
+        """
+        parts = urllib.parse.urlsplit(url)
+        self._pool = web.Pool(parts.hostname or "", parts.port or 80, 4)
+        self._on_call = on_call
+
+    def read(self, key: str) -> _interface.Entry:
+        """See `Store.read`."""
+        return self._entry("read", key, "", CALL_TIMEOUT_S)
+
+    def swap(self, key: str, value: bytes, expected_version: int) -> int:
+        """See `Store.swap`."""
+        reply = self._call(
+            "swap",
+            "PUT",
+            f"{_path(key)}?expected={expected_version}",
+            value,
+            CALL_TIMEOUT_S,
+        )
+        version = int(reply.header("store-version") or 0)
+        if reply.status == _CONFLICT:
+            raise errors.StoreConflictError(
+                f"{key} is at version {version}, not {expected_version}",
+                step="store.swap",
+                peer=self._pool.peer,
+            )
+        return version
+
+    def watch(
+        self, key: str, known_version: int, wait_s: float
+    ) -> _interface.Entry:
+        """See `Store.watch`."""
+        query = f"?known={known_version}&wait={wait_s}"
+        return self._entry("watch", key, query, wait_s + WATCH_SLACK_S)
+
+    def _entry(
+        self, operation: str, key: str, query: str, timeout_s: float
+    ) -> _interface.Entry:
+        reply = self._call(operation, "GET", _path(key) + query, b"", timeout_s)
+        return _interface.Entry(
+            reply.body, int(reply.header("store-version") or 0)
+        )
+
+    def _call(
+        self,
+        operation: str,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> web.Reply:
+        self._on_call(operation)
+        try:
+            reply = web.exchange(
+                self._pool,
+                method,
+                target,
+                (),
+                body,
+                timeout_s=timeout_s,
+                max_body_bytes=MAX_VALUE_BYTES,
+            )
+        except errors.FlamingolugError as exc:
+            raise errors.StoreUnavailableError(
+                exc.message, step=f"store.{operation}", peer=self._pool.peer
+            ) from exc
+        if reply.status in (200, _CONFLICT):
+            return reply
+        raise errors.StoreUnavailableError(
+            f"answered {reply.status}",
+            step=f"store.{operation}",
+            peer=self._pool.peer,
+        )
+
+
+def _path(key: str) -> str:
+    """Returns the URL path of `key`."""
+    return f"/v1/kv/{urllib.parse.quote(key, safe='')}"
--- /dev/null
+++ b/flamingolug/telemetry/__init__.py
@@ -0,0 +1,17 @@
+"""Telemetry: key=value logs and OpenTelemetry counters."""
+
+from flamingolug.telemetry._counters import Counters
+from flamingolug.telemetry._log import configure
+from flamingolug.telemetry._log import event
+from flamingolug.telemetry._names import Refusal
+from flamingolug.telemetry._names import Retry
+from flamingolug.telemetry._names import RetryDenied
+
+__all__ = [
+    "Counters",
+    "Refusal",
+    "Retry",
+    "RetryDenied",
+    "configure",
+    "event",
+]
--- /dev/null
+++ b/flamingolug/telemetry/_counters.py
@@ -0,0 +1,98 @@
+"""Counters through OpenTelemetry, readable from the node itself."""
+
+from collections.abc import Mapping
+
+from opentelemetry import metrics as otel_api
+from opentelemetry.sdk import metrics as otel_sdk
+from opentelemetry.sdk import resources
+from opentelemetry.sdk.metrics import export as otel_export
+
+
+class Counters:
+    """Counts events by name and attributes.
+
+    Events are added up in a plain table, because that costs well under a
+    microsecond on the path of a call, and OpenTelemetry reads the table
+    through observable counters when it collects.
+    """
+
+    def __init__(
+        self, node: str, otlp_endpoint: str, interval_s: float
+    ) -> None:
+        """Creates the counters.
+
+        Args:
+            node: resource attribute `service.instance.id`.
+            otlp_endpoint: URL of an OTLP/HTTP receiver, empty for none.
+            interval_s: seconds between exports.
+        """
+        self._counts: dict[str, dict[tuple[str, ...], int]] = {}
+        self._labels: dict[str, tuple[str, ...]] = {}
+        self._reader = otel_export.InMemoryMetricReader()
+        readers: list[otel_export.MetricReader] = [self._reader]
+        if otlp_endpoint:
+            readers.append(_otlp_reader(otlp_endpoint, interval_s))
+        self._provider = otel_sdk.MeterProvider(
+            metric_readers=readers,
+            resource=resources.Resource.create(
+                {"service.name": "flamingolug", "service.instance.id": node}
+            ),
+            shutdown_on_exit=False,
+        )
+        self._meter = self._provider.get_meter("flamingolug")
+
+    def declare(self, name: str, description: str, *labels: str) -> None:
+        """Declares counter `name` with the given attribute names."""
+        if name in self._counts:
+            return
+        counts: dict[tuple[str, ...], int] = {}
+        self._counts[name] = counts
+        self._labels[name] = labels
+
+        def observe(
+            options: otel_api.CallbackOptions,
+        ) -> list[otel_api.Observation]:
+            del options
+            return [
+                otel_api.Observation(
+                    count, dict(zip(labels, values, strict=True))
+                )
+                for values, count in counts.items()
+            ]
+
+        self._meter.create_observable_counter(
+            name, callbacks=[observe], description=description
+        )
+
+    def add(self, name: str, *values: str, count: int = 1) -> None:
+        """Adds `count` to counter `name` for these attribute values."""
+        counts = self._counts[name]
+        counts[values] = counts.get(values, 0) + count
+
+    def snapshot(self) -> Mapping[str, list[dict[str, object]]]:
+        """Returns all counts: name to a list of attributes and value."""
+        result: dict[str, list[dict[str, object]]] = {}
+        for name, counts in sorted(self._counts.items()):
+            rows: list[dict[str, object]] = []
+            for values, count in sorted(counts.items()):
+                row: dict[str, object] = dict(
+                    zip(self._labels[name], values, strict=True)
+                )
+                row["value"] = count
+                rows.append(row)
+            result[name] = rows
+        return result
+
+    def stop(self) -> None:
+        """Flushes and ends the exporters."""
+        self._provider.shutdown()
+
+
+def _otlp_reader(endpoint: str, interval_s: float) -> otel_export.MetricReader:
+    """Returns a reader that pushes by OTLP over HTTP."""
+    from opentelemetry.exporter.otlp.proto.http import metric_exporter
+
+    return otel_export.PeriodicExportingMetricReader(
+        metric_exporter.OTLPMetricExporter(endpoint=endpoint),
+        export_interval_millis=interval_s * 1000,
+    )
--- /dev/null
+++ b/flamingolug/telemetry/_log.py
@@ -0,0 +1,51 @@
+"""Logs: one line of key=value pairs for each event."""
+
+import json
+import logging
+import sys
+
+_SAFE = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+,"
+)
+
+
+def configure(level: str, name: str) -> None:
+    """Sends log lines to standard error.
+
+    Args:
+        level: a level name of `logging`, such as `info`.
+        name: the process's name, added to each line.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        logging.Formatter(
+            f"ts=%(created).3f level=%(levelname)s node={_quote(name)} "
+            "%(message)s"
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+
+
+def event(
+    logger: logging.Logger,
+    name: str,
+    /,
+    level: int = logging.INFO,
+    **fields: object,
+) -> None:
+    """Logs one event as `event=name key=value ...`."""
+    if not logger.isEnabledFor(level):
+        return
+    pairs = [f"event={name}"]
+    for key, value in fields.items():
+        pairs.append(f"{key}={_quote(str(value))}")
+    logger.log(level, "%s", " ".join(pairs))
+
+
+def _quote(text: str) -> str:
+    """Returns `text` quoted as JSON unless it is plain."""
+    if text and all(character in _SAFE for character in text):
+        return text
+    return json.dumps(text)
--- /dev/null
+++ b/flamingolug/timing/__init__.py
@@ -0,0 +1,8 @@
+"""Timer service that parts subscribe to, with a manual clock for tests."""
+
+from flamingolug.timing._service import GeventTimers
+from flamingolug.timing._service import ManualTimers
+from flamingolug.timing._service import Subscription
+from flamingolug.timing._service import Timers
+
+__all__ = ["GeventTimers", "ManualTimers", "Subscription", "Timers"]
--- /dev/null
+++ b/flamingolug/timing/_service.py
@@ -0,0 +1,129 @@
+"""Timer service: monotonic time, wall time and periodic callbacks."""
+
+import heapq
+import itertools
+import logging
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+
+from flamingolug import telemetry
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Subscription:
+    """A periodic callback; `cancel` ends it."""
+
+    def __init__(self) -> None:
+        """Creates an active subscription."""
+        self.active = True
+
+    def cancel(self) -> None:
+        """Stops further callbacks; one already running finishes."""
+        self.active = False
+
+
+class Timers(Protocol):
+    """What parts may ask of time."""
+
+    def now(self) -> float:
+        """Returns monotonic seconds of this process."""
+
+    def wall(self) -> float:
+        """Returns seconds since the Unix epoch."""
+
+    def every(
+        self, interval_s: float, callback: Callable[[], None]
+    ) -> Subscription:
+        """Runs `callback` each `interval_s` seconds until cancelled."""
+
+
+class GeventTimers:
+    """Timers on the real clock, one greenlet per subscription."""
+
+    def now(self) -> float:
+        """See `Timers.now`."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """See `Timers.wall`."""
+        return time.time()
+
+    def every(
+        self, interval_s: float, callback: Callable[[], None]
+    ) -> Subscription:
+        """See `Timers.every`; an exception is logged, the next run follows."""
+        subscription = Subscription()
+
+        def run() -> None:
+            while subscription.active:
+                gevent.sleep(interval_s)
+                if not subscription.active:
+                    break
+                try:
+                    callback()
+                except Exception as exc:
+                    telemetry.event(
+                        _LOGGER, "timer.failed", level=logging.ERROR, error=exc
+                    )
+
+        gevent.spawn(run)
+        return subscription
+
+
+class ManualTimers:
+    """Timers whose clock moves only by `advance`, for tests."""
+
+    def __init__(self, wall_s: float = 1_700_000_000.0) -> None:
+        """Starts at monotonic zero and the given wall time."""
+        self._now = 0.0
+        self._wall_offset = wall_s
+        self._sequence = itertools.count()
+        self._due: list[
+            tuple[float, int, float, Callable[[], None], Subscription]
+        ] = []
+
+    def now(self) -> float:
+        """See `Timers.now`."""
+        return self._now
+
+    def wall(self) -> float:
+        """See `Timers.wall`."""
+        return self._wall_offset + self._now
+
+    def every(
+        self, interval_s: float, callback: Callable[[], None]
+    ) -> Subscription:
+        """See `Timers.every`."""
+        subscription = Subscription()
+        self._push(self._now + interval_s, interval_s, callback, subscription)
+        return subscription
+
+    def advance(self, seconds: float) -> None:
+        """Moves the clock and runs every callback that falls due."""
+        end = self._now + seconds
+        while self._due and self._due[0][0] <= end:
+            due, _, interval_s, callback, subscription = heapq.heappop(
+                self._due
+            )
+            if not subscription.active:
+                continue
+            self._now = max(self._now, due)
+            callback()
+            self._push(due + interval_s, interval_s, callback, subscription)
+        self._now = end
+
+    def _push(
+        self,
+        due: float,
+        interval_s: float,
+        callback: Callable[[], None],
+        subscription: Subscription,
+    ) -> None:
+        heapq.heappush(
+            self._due,
+            (due, next(self._sequence), interval_s, callback, subscription),
+        )
--- /dev/null
+++ b/flamingolug/web/__init__.py
@@ -0,0 +1,23 @@
+"""HTTP on both sides: pooled exchanges and the WSGI server."""
+
+from flamingolug.web._client import exchange
+from flamingolug.web._client import Pool
+from flamingolug.web._client import Reply
+from flamingolug.web._server import Environ
+from flamingolug.web._server import header_pairs
+from flamingolug.web._server import json_response
+from flamingolug.web._server import read_body
+from flamingolug.web._server import Server
+from flamingolug.web._server import StartResponse
+
+__all__ = [
+    "Environ",
+    "Pool",
+    "Reply",
+    "Server",
+    "StartResponse",
+    "exchange",
+    "header_pairs",
+    "json_response",
+    "read_body",
+]
--- /dev/null
+++ b/flamingolug_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on real processes of one machine."""
--- /dev/null
+++ b/flamingolug_bench/deployment.py
@@ -0,0 +1,333 @@
+"""Starts a small deployment: store, backend servers and nodes.
+
+The product starts no process; this bench does, and ends only its own.
+"""
+
+import contextlib
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+
+import gevent
+import msgspec
+
+from flamingolug import errors
+from flamingolug import manifest
+from flamingolug import operations
+from flamingolug import peers
+from flamingolug import store
+from flamingolug import web
+from flamingolug_standins import backend
+
+PEER_KEY = "bench key, not a secret"
+HOST = "127.0.0.1"
+READY_TIMEOUT_S = 30.0
+_STOP_TIMEOUT_S = 10.0
+_PORTS_PER_KIND = 1_000
+
+
+class ServicePlan(NamedTuple):
+    """One service of a deployment."""
+
+    name: str
+    #: Availability zone of each upstream.
+    zones: tuple[str, ...]
+    slots: int
+    connections: int
+
+
+class DeploymentPlan(NamedTuple):
+    """Everything that is started."""
+
+    manifest: manifest.Manifest
+    services: tuple[ServicePlan, ...]
+    #: `full`, or `none` for the baseline.
+    control: str = "full"
+    base_port: int = 20_000
+    #: Changes of backend plans by backend name.
+    backend_changes: Mapping[str, Mapping[str, Any]] = {}
+    with_store: bool = True
+    log_level: str = "warning"
+
+
+class NodePlan(NamedTuple):
+    """Where one node and its backend server listen."""
+
+    name: str
+    service: str
+    zone: str
+    http: str
+    peer: str
+    backend: str
+
+
+class Deployment:
+    """A running deployment; a context manager that ends it."""
+
+    def __init__(self, plan: DeploymentPlan) -> None:
+        """Plans the addresses; `__enter__` starts the processes."""
+        self.plan = plan
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="flamingolug-"))
+        self.nodes = _plan_nodes(plan)
+        self.store_url = f"http://{HOST}:{plan.base_port}"
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> "Deployment":
+        try:
+            self._start_all()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *unused: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Ends the processes and removes the files."""
+        for process in self.processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGKILL)
+        for process in self.processes.values():
+            process.wait(_STOP_TIMEOUT_S)
+        shutil.rmtree(self.directory, ignore_errors=True)
+
+    def start_store(self) -> None:
+        """Starts the stand-in of the key-value service."""
+        self.start(
+            "store",
+            "flamingolug_standins.store_program",
+            HOST,
+            str(self.plan.base_port),
+        )
+
+    def start_node(self, node: NodePlan) -> None:
+        """Starts one node."""
+        path = self.directory / f"{node.name}.yaml"
+        path.write_text(self._settings(node))
+        self.start(node.name, "flamingolug.node", "run", str(path))
+
+    def start(self, name: str, module: str, *arguments: str) -> None:
+        """Starts a Python module as a process."""
+        log = (self.directory / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            env={**os.environ, "PYTHONHASHSEED": "0"},
+        )
+        log.close()
+
+    def fleet(self) -> operations.Fleet:
+        """Returns a client of the nodes."""
+        token = peers.derive_keys(PEER_KEY).operator_token
+        return operations.Fleet([each.http for each in self.nodes], token)
+
+    def apply(self, wanted: manifest.Manifest) -> operations.ApplyResult:
+        """Applies a manifest and waits until it is in force."""
+        source = store.HttpStore(self.store_url)
+        result = operations.apply_manifest(
+            source,
+            wanted,
+            operations.Author("bench", time.time()),
+            None,
+            gevent.sleep,
+        )
+        fleet = self.fleet()
+        fleet.announce(result.stored)
+        assert result.accepted is not None
+        done, progress = fleet.wait_in_force(
+            result.accepted.revision, READY_TIMEOUT_S
+        )
+        if not done:
+            raise errors.FlamingolugError(
+                f"manifest not in force: {progress}", step="bench.apply"
+            )
+        return result
+
+    def wait_ready(self) -> None:
+        """Waits until every node knows every other and its service."""
+        expected = {(each.name, each.service) for each in self.nodes}
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            if all(self._knows(each, expected) for each in self.nodes):
+                return
+            gevent.sleep(0.1)
+        raise errors.FlamingolugError(
+            "nodes did not find each other", step="bench.start"
+        )
+
+    def backend_request(
+        self, address: str, path: str, body: bytes = b""
+    ) -> bytes:
+        """Sends a control request to a backend server or stand-in."""
+        return request(address, path, body)
+
+    def ledger(self) -> list[backend.LedgerEntry]:
+        """Returns what all backend servers ran."""
+        entries: list[backend.LedgerEntry] = []
+        for node in self.nodes:
+            if not node.service:
+                continue
+            body = request(node.backend, "/-/ledger")
+            entries.extend(
+                msgspec.json.decode(body, type=list[backend.LedgerEntry])
+            )
+        return entries
+
+    def metrics(self) -> dict[str, dict[str, int]]:
+        """Returns the counters of all nodes, added up by labels."""
+        totals: dict[str, dict[str, int]] = {}
+        for node in self.nodes:
+            try:
+                body = request(node.http, "/-/metrics")
+            except errors.FlamingolugError:
+                continue
+            for name, rows in msgspec.json.decode(body).items():
+                counts = totals.setdefault(name, {})
+                for row in rows:
+                    value = row.pop("value")
+                    label = "/".join(str(each) for each in row.values())
+                    counts[label] = counts.get(label, 0) + value
+        return totals
+
+    def _start_all(self) -> None:
+        if self.plan.with_store:
+            self.start_store()
+        for node in self.nodes:
+            self.start_node(node)
+        self._start_backends()
+        if self.plan.with_store:
+            self._wait_store()
+            self.wait_ready()
+            self.apply(self.plan.manifest)
+
+    def _wait_store(self) -> None:
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            with contextlib.suppress(errors.FlamingolugError):
+                request(f"{HOST}:{self.plan.base_port}", "/stats")
+                return
+            gevent.sleep(0.05)
+
+    def _start_backends(self) -> None:
+        """Starts one process for the backend servers of each service."""
+        by_service: dict[str, list[backend.Plan]] = {}
+        for index, node in enumerate(self.nodes):
+            if not node.service:
+                continue
+            plan = self._backend_plan(node, index)
+            by_service.setdefault(node.service, []).append(plan)
+        for service, plans in by_service.items():
+            path = self.directory / f"backends-{service}.yaml"
+            path.write_bytes(msgspec.yaml.encode(plans))
+            self.start(
+                f"backends-{service}",
+                "flamingolug_standins.backend_program",
+                str(path),
+            )
+
+    def _backend_plan(self, node: NodePlan, index: int) -> backend.Plan:
+        service = next(
+            each for each in self.plan.services if each.name == node.service
+        )
+        kinds: dict[str, backend.KindPlan] = {}
+        for kind in self.plan.manifest.kinds.values():
+            if kind.service != node.service:
+                continue
+            kinds[kind.name] = backend.KindPlan(
+                service_time_ms=kind.service_time_ms,
+                calls=[_call(self.plan.manifest, each) for each in kind.calls],
+            )
+        plan = backend.Plan(
+            name=node.name,
+            service=node.service,
+            address=node.backend,
+            node=node.http,
+            slots=service.slots,
+            connections=service.connections,
+            kinds=kinds,
+            seed=index + 1,
+        )
+        changes = self.plan.backend_changes.get(node.name, {})
+        return msgspec.structs.replace(plan, **changes)
+
+    def _settings(self, node: NodePlan) -> str:
+        lines = [
+            f"name: {node.name}",
+            "region: bench",
+            f"availability_zone: {node.zone}",
+            f"http_address: {node.http}",
+            f"peer_address: {node.peer}",
+            f"peer_key: {PEER_KEY}",
+            f"store_url: {self.store_url}",
+            f"log_level: {self.plan.log_level}",
+            f"control: {self.plan.control}",
+        ]
+        return "\n".join(lines) + "\n"
+
+    def _knows(self, node: NodePlan, expected: set[tuple[str, str]]) -> bool:
+        try:
+            body = request(node.http, "/-/members")
+        except errors.FlamingolugError:
+            return False
+        members = msgspec.json.decode(body)["members"]
+        known = {
+            (each["name"], each["service"])
+            for each in members
+            if each["state"] == "alive"
+        }
+        return expected <= known
+
+
+def request(address: str, path: str, body: bytes = b"") -> bytes:
+    """Sends one control request and returns the body of its answer."""
+    host, _, port = address.rpartition(":")
+    pool = web.Pool(host, int(port))
+    try:
+        return web.exchange(
+            pool,
+            "POST" if body else "GET",
+            path,
+            (),
+            body,
+            timeout_s=5.0,
+            max_body_bytes=200_000_000,
+        ).body
+    finally:
+        pool.close()
+
+
+def _plan_nodes(plan: DeploymentPlan) -> list[NodePlan]:
+    """Returns the nodes with their addresses."""
+    nodes: list[NodePlan] = []
+    for service in plan.services:
+        for index, zone in enumerate(service.zones):
+            port = plan.base_port + 1 + len(nodes)
+            nodes.append(
+                NodePlan(
+                    name=f"{service.name or 'idle'}-{index}",
+                    service=service.name,
+                    zone=zone,
+                    http=f"{HOST}:{port}",
+                    peer=f"{HOST}:{port + _PORTS_PER_KIND}",
+                    backend=f"{HOST}:{port + 2 * _PORTS_PER_KIND}",
+                )
+            )
+    return nodes
+
+
+def _call(found: manifest.Manifest, name: str) -> tuple[str, str, str, str]:
+    """Returns how a backend server calls a kind."""
+    kind = found.kinds[name]
+    route = kind.route or manifest.Route("GET", "/")
+    return kind.service, kind.name, route.method, route.path
--- /dev/null
+++ b/flamingolug_standins/backend_program.py
@@ -0,0 +1,32 @@
+"""Program `flamingolug-backend PLANS`: stand-in backend servers.
+
+One process may hold many, since they only sleep.
+"""
+
+import pathlib
+import signal
+import sys
+
+import gevent
+from gevent import event
+
+from flamingolug_standins import backend
+
+
+def main() -> None:
+    """Entry point; the argument is a YAML file with a list of plans."""
+    stop = event.Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    gevent.signal_handler(signal.SIGINT, stop.set)
+    plans = backend.load_plans(pathlib.Path(sys.argv[1]).read_bytes())
+    servers = [backend.Backend(plan) for plan in plans]
+    for each in servers:
+        each.start()
+    stop.wait()
+    for each in servers:
+        each.leave()
+    gevent.joinall([gevent.spawn(each.server.stop, 10.0) for each in servers])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/flamingolug_standins/relay_program.py
@@ -0,0 +1,123 @@
+"""Program `flamingolug-relay LISTEN TARGET CONTROL`: a TCP relay.
+
+It can delay what passes, stall it for a while, as lost packets do, or go
+silent for good on the connections that are open. `POST /fault` on the control
+address sets it.
+"""
+
+import random
+import signal
+import sys
+from collections.abc import Iterable
+from typing import Any
+
+import gevent
+import msgspec
+from gevent import event
+from gevent import server
+from gevent import socket
+
+from flamingolug import web
+
+_READ_BYTES = 65_536
+
+
+class Fault(msgspec.Struct, forbid_unknown_fields=True):
+    """How the relay treats what passes."""
+
+    #: Seconds of one-way delay, and its random part.
+    delay_s: float = 0.0
+    jitter_s: float = 0.0
+    #: Chance that a piece stalls for `stall_s`.
+    stall_chance: float = 0.0
+    stall_s: float = 0.2
+    #: Connections open at the time pass nothing any more.
+    silence_open: bool = False
+    #: No connection passes anything.
+    cut: bool = False
+
+
+class Relay:
+    """Relays TCP connections to one target."""
+
+    def __init__(self, listen: str, target: str) -> None:
+        """Binds the address."""
+        self.fault = Fault()
+        self._silent: set[int] = set()
+        self._open: set[int] = set()
+        self._numbers = 0
+        self._target = _split(target)
+        self._rng = random.Random(1)
+        self._server = server.StreamServer(_split(listen), self._relay)
+
+    def start(self) -> None:
+        """Begins to accept."""
+        self._server.start()
+
+    def application(
+        self, environ: web.Environ, start_response: web.StartResponse
+    ) -> Iterable[bytes]:
+        """Takes in a fault."""
+        body = web.read_body(environ, _READ_BYTES)
+        self.fault = msgspec.json.decode(body, type=Fault)
+        if self.fault.silence_open:
+            self._silent |= self._open
+        return web.json_response(start_response, "200 OK", {})
+
+    def _relay(self, client: Any, address: object) -> None:
+        del address
+        self._numbers += 1
+        number = self._numbers
+        self._open.add(number)
+        try:
+            upstream = socket.create_connection(self._target, timeout=1.0)
+            upstream.settimeout(None)
+            tasks = [
+                gevent.spawn(self._copy, client, upstream, number),
+                gevent.spawn(self._copy, upstream, client, number),
+            ]
+            gevent.joinall(tasks, count=1)
+            gevent.killall(tasks)
+            upstream.close()
+        except OSError:
+            pass
+        finally:
+            self._open.discard(number)
+            client.close()
+
+    def _copy(self, source: Any, target: Any, number: int) -> None:
+        """Copies one direction."""
+        while True:
+            data = source.recv(_READ_BYTES)
+            if not data:
+                return
+            fault = self.fault
+            wait_s = fault.delay_s + fault.jitter_s * self._rng.random()
+            if self._rng.random() < fault.stall_chance:
+                wait_s += fault.stall_s
+            if wait_s > 0.0:
+                gevent.sleep(wait_s)
+            if number in self._silent or self.fault.cut:
+                event.Event().wait()
+            target.sendall(data)
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def main() -> None:
+    """Entry point."""
+    stop = event.Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    relay = Relay(sys.argv[1], sys.argv[2])
+    relay.start()
+    host, port = _split(sys.argv[3])
+    control = web.Server(host, port, relay.application)
+    control.start()
+    stop.wait()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/flamingolug_standins/store_program.py
@@ -0,0 +1,132 @@
+"""Stand-in of the platform's key-value service, in memory.
+
+`GET /v1/kv/KEY?known=V&wait=S`, `PUT /v1/kv/KEY?expected=V`. Faults are set by
+`POST /fault` with a JSON object, calls are counted under `GET /stats`.
+"""
+
+import signal
+import sys
+import urllib.parse
+from collections.abc import Iterable
+
+import gevent
+import msgspec
+from gevent import event
+
+from flamingolug import web
+
+_OK = "200 OK"
+MAX_VALUE_BYTES = 1_048_576
+
+
+class _Fault(msgspec.Struct, forbid_unknown_fields=True):
+    """How the service misbehaves."""
+
+    #: Answers 503 to everything.
+    down: bool = False
+    #: Seconds added to each call.
+    delay_s: float = 0.0
+    #: Writes take effect and the connection is closed without an answer.
+    lose_write_answers: bool = False
+
+
+class MemoryStore:
+    """Values by key, each with a version."""
+
+    def __init__(self) -> None:
+        """Starts empty and healthy."""
+        self.fault = _Fault()
+        self.counts: dict[str, int] = {}
+        self._values: dict[str, tuple[bytes, int]] = {}
+        self._changed = event.Event()
+
+    def application(
+        self, environ: web.Environ, start_response: web.StartResponse
+    ) -> Iterable[bytes]:
+        """Answers one request."""
+        path: str = environ["PATH_INFO"]
+        if path == "/fault":
+            body = web.read_body(environ, MAX_VALUE_BYTES)
+            self.fault = msgspec.json.decode(body, type=_Fault)
+            return web.json_response(start_response, _OK, {})
+        if path == "/stats":
+            return web.json_response(start_response, _OK, self.counts)
+        return self._key_request(environ, start_response)
+
+    def _key_request(
+        self, environ: web.Environ, start_response: web.StartResponse
+    ) -> Iterable[bytes]:
+        query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+        key = environ["PATH_INFO"].removeprefix("/v1/kv/")
+        method = environ["REQUEST_METHOD"]
+        operation = "watch" if "wait" in query else method.lower()
+        self.counts[operation] = self.counts.get(operation, 0) + 1
+        gevent.sleep(self.fault.delay_s)
+        if self.fault.down:
+            start_response("503 Unavailable", [("Content-Length", "0")])
+            return [b""]
+        if method == "PUT":
+            body = web.read_body(environ, MAX_VALUE_BYTES)
+            return self._swap(key, body, int(query["expected"]), start_response)
+        if "wait" in query:
+            self._wait(key, int(query["known"]), float(query["wait"]))
+        value, version = self._values.get(key, (b"", 0))
+        return _answer(start_response, _OK, value, version)
+
+    def _swap(
+        self,
+        key: str,
+        value: bytes,
+        expected: int,
+        start_response: web.StartResponse,
+    ) -> Iterable[bytes]:
+        _, version = self._values.get(key, (b"", 0))
+        if version != expected:
+            return _answer(start_response, "409 Conflict", b"", version)
+        self._values[key] = (value, version + 1)
+        self._changed.set()
+        self._changed.clear()
+        if self.fault.lose_write_answers:
+            # A status line without its body: the client must take the
+            # answer as lost.
+            start_response(_OK, [("Content-Length", "10")])
+            return [b""]
+        return _answer(start_response, _OK, b"", version + 1)
+
+    def _wait(self, key: str, known: int, wait_s: float) -> None:
+        """Waits for a version above `known`."""
+        with gevent.Timeout(wait_s, False):  # type: ignore[arg-type]
+            while self._values.get(key, (b"", 0))[1] <= known:
+                self._changed.wait()
+                if self.fault.down:
+                    return
+
+
+def _answer(
+    start_response: web.StartResponse, status: str, body: bytes, version: int
+) -> Iterable[bytes]:
+    start_response(
+        status,
+        [
+            ("Content-Length", str(len(body))),
+            ("Store-Version", str(version)),
+        ],
+    )
+    return [body]
+
+
+def main() -> None:
+    """Entry point: `flamingolug-store HOST PORT`."""
+    stop = event.Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    gevent.signal_handler(signal.SIGINT, stop.set)
+    server = web.Server(
+        sys.argv[1], int(sys.argv[2]), MemoryStore().application
+    )
+    server.start()
+    stop.wait()
+    server.stop(0.0)
+
+
+if __name__ == "__main__":
+    main()
