Membership: missed changes are found by checksum; inversions are counted

Change: heartbeats carry a checksum of the table; when it differs although no change is on its way, both sides exchange all members. Admission counts calls that were shed while less urgent work was started. Ruled out: more resends, which only make it rarer.

--- a/flamingolug/membership/_gossip.py
+++ b/flamingolug/membership/_gossip.py
@@ -41,6 +41,7 @@
 #: Times that a change is passed on, times log2 of the fleet.
 RESEND_FACTOR = 2
 MEMBER_CHANGES = "flamingolug.membership.changes"
+TABLE_EXCHANGES = "flamingolug.membership.table-exchanges"
 HEARTBEATS = "flamingolug.membership.heartbeats"
 
 
@@ -66,6 +67,9 @@
         needs.counters.declare(
             HEARTBEATS, "Heartbeats sent, by result", "result"
         )
+        needs.counters.declare(
+            TABLE_EXCHANGES, "Exchanges of all members after a missed change"
+        )
         self.table = _table.MemberTable(own)
         self._needs = needs
         self._resend: dict[str, int] = {}
@@ -143,6 +147,7 @@
             "rev": revision,
             "digest": digest,
             "members": self._due_records(),
+            "sum": self.table.checksum,
         }
 
     def make_pong(self, ping: peers.PingMessage) -> peers.PingMessage:
@@ -151,7 +156,7 @@
         pong = self.make_ping()
         pong["id"] = ping["id"]
         if ping.get("join"):
-            pong["members"] = [each.to_message() for each in self.table.all()]
+            pong["members"] = self._all_records()
         return pong
 
     def take_in(self, ping: peers.PingMessage) -> None:
@@ -220,6 +225,9 @@
             service=member.service,
         )
 
+    def _all_records(self) -> list[peers.MemberMessage]:
+        return [each.to_message() for each in self.table.all()]
+
     def _due_records(self) -> list[peers.MemberMessage]:
         """Returns the changes to pass on, those sent least often first."""
         names = sorted(self._resend, key=lambda name: -self._resend[name])
@@ -260,10 +268,7 @@
 
     def _is_contactable(self, name: str) -> bool:
         member = self.table.get(name)
-        return member is not None and member.state in (
-            _table.MemberState.ALIVE,
-            _table.MemberState.SUSPECT,
-        )
+        return member is not None and member.is_present()
 
     def _alive_names(self) -> list[str]:
         """Returns alive and suspected members, this node left out."""
@@ -332,4 +337,26 @@
         self._needs.counters.add(HEARTBEATS, "answered")
         pong = cast(peers.PingMessage, answer.message)
         self.take_in(pong)
+        if self._has_missed_changes(ping, pong):
+            gevent.spawn(self._exchange_tables, address)
         return True
+
+    def _has_missed_changes(
+        self, ping: peers.PingMessage, pong: peers.PingMessage
+    ) -> bool:
+        """Returns whether tables differ though no change is on its way.
+
+        Changes are passed on a limited number of times, so a few nodes may
+        miss one.
+        """
+        if ping.get("join") or pong["members"] or self._resend:
+            return False
+        return pong["sum"] != self.table.checksum
+
+    def _exchange_tables(self, address: str) -> None:
+        """Sends and asks for all members."""
+        self._needs.counters.add(TABLE_EXCHANGES)
+        ping = self.make_ping()
+        ping["members"] = self._all_records()
+        ping["join"] = True
+        self._ask(address, ping)
--- a/flamingolug/membership/_table.py
+++ b/flamingolug/membership/_table.py
@@ -1,6 +1,7 @@
 """Table of members and the rule by which reports replace each other."""
 
 import enum
+import hashlib
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -43,6 +44,18 @@
     #: Monotonic seconds of this process when the record changed here.
     changed_at: float = 0.0
 
+    def is_present(self) -> bool:
+        """Returns whether it is not known to be gone."""
+        return self.state in (MemberState.ALIVE, MemberState.SUSPECT)
+
+    def checksum(self) -> int:
+        """Returns a number that changes with each report, 0 when gone."""
+        if not self.is_present():
+            return 0
+        text = f"{self.name}/{self.incarnation}/{self.version}/{self.state}"
+        digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+        return int.from_bytes(digest, "big")
+
     def to_message(self) -> peers.MemberMessage:
         """Returns the form that travels between nodes."""
         return {
@@ -97,6 +110,8 @@
         """Starts with this node alone."""
         self._members = {own.name: own}
         self._own_name = own.name
+        #: Exclusive or of the members' checksums: equal tables, equal sums.
+        self.checksum = own.checksum()
 
     @property
     def own(self) -> Member:
@@ -129,7 +144,7 @@
         known = self._members.get(report.name)
         if known is not None and not replaces(report, known):
             return False
-        self._members[report.name] = report
+        self._put(report)
         return True
 
     def update_own(self, now: float, **fields: object) -> Member:
@@ -140,13 +155,13 @@
             changed_at=now,
             **fields,  # type: ignore[arg-type]
         )
-        self._members[self._own_name] = changed
+        self._put(changed)
         return changed
 
     def forget_old(self, now: float) -> None:
         """Drops members that have been gone for long."""
         for member in list(self._members.values()):
-            if member.state in (MemberState.ALIVE, MemberState.SUSPECT):
+            if member.is_present():
                 continue
             if now - member.changed_at > FORGET_S:
                 del self._members[member.name]
@@ -159,5 +174,13 @@
             return False
         if report.state == own.state and report.version == own.version:
             return False
-        self._members[self._own_name] = own._replace(version=report.version + 1)
+        self._put(own._replace(version=report.version + 1))
         return True
+
+    def _put(self, member: Member) -> None:
+        """Stores a record and keeps the checksum."""
+        known = self._members.get(member.name)
+        if known is not None:
+            self.checksum ^= known.checksum()
+        self._members[member.name] = member
+        self.checksum ^= member.checksum()
--- a/flamingolug/node/_admission.py
+++ b/flamingolug/node/_admission.py
@@ -33,6 +33,7 @@
     def __init__(
         self, level: int, sequence: int, deadline: float, expected_s: float
     ) -> None:
+        self.level = level
         self.key = (level, sequence)
         self.deadline = deadline
         self.expected_s = expected_s
@@ -65,6 +66,7 @@
         limit: policy.LimitState,
         top: int,
         now: Callable[[], float],
+        rank_of: Callable[[int], int] = lambda level: 0,
     ) -> None:
         """Starts empty.
 
@@ -72,7 +74,13 @@
             limit: limit to begin with.
             top: one more than the highest level of the ladder.
             now: monotonic clock.
+            rank_of: returns the urgency rank of a level.
         """
+        #: Waiting calls that were shed although work of a less urgent rank
+        #: was started after they came.
+        self.inversions = 0
+        self._rank_of = rank_of
+        self._last_started: dict[int, int] = {}
         self.limit = limit
         self.running = 0
         self._top = top
@@ -125,7 +133,7 @@
         if self._now() + times.held_s > deadline:
             raise errors.RefusedError(telemetry.Refusal.DEADLINE, step=_STEP)
         if self.running < int(self.limit.limit) and not self._waiting:
-            self._start()
+            self._start(level)
             return
         self._used_up = True
         self._wait(level, deadline, times.held_s)
@@ -173,9 +181,10 @@
         while self._waiting:
             self._refuse(self._waiting.pop(), reason)
 
-    def _start(self) -> None:
+    def _start(self, level: int) -> None:
         self.running += 1
         self._started += 1
+        self._last_started[self._rank_of(level)] = next(self._sequence)
         if self.running >= int(self.limit.limit):
             self._used_up = True
 
@@ -214,7 +223,7 @@
                 self._shed += 1
                 self._refuse(waiter, telemetry.Refusal.DEADLINE)
                 continue
-            self._start()
+            self._start(waiter.level)
             waiter.granted.set(True)
 
     def _refuse_late(self) -> None:
@@ -228,4 +237,10 @@
             self._refuse(waiter, telemetry.Refusal.DEADLINE)
 
     def _refuse(self, waiter: _Waiter, reason: telemetry.Refusal) -> None:
+        rank = self._rank_of(waiter.level)
+        came = waiter.key[1]
+        for other, started in self._last_started.items():
+            if other > rank and started > came:
+                self.inversions += 1
+                break
         waiter.granted.set_exception(errors.RefusedError(reason, step=_STEP))
--- a/flamingolug/node/_upstream.py
+++ b/flamingolug/node/_upstream.py
@@ -20,6 +20,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 REFUSALS = "flamingolug.refusals"
+INVERSIONS = "flamingolug.admission.inversions"
 SERVED = "flamingolug.upstream.calls"
 CUTOFF_INTERVAL_S = 0.1
 LIMIT_INTERVAL_S = 0.2
@@ -62,6 +63,9 @@
         needs.counters.declare(
             SERVED, "Calls given to the backend server", "verdict"
         )
+        needs.counters.declare(
+            INVERSIONS, "Calls shed while less urgent work was started"
+        )
         self.announced: Announcement | None = None
         self.leaving = False
         self.in_flight = _inflight.InFlight(needs.incarnation, needs.timers.now)
@@ -98,7 +102,8 @@
         self.admission = _admission.Admission(
             policy.initial_limit(announced.slots, announced.connections),
             self._top(),
-            now=self._needs.timers.now,
+            self._needs.timers.now,
+            self._rank_of,
         )
         telemetry.event(
             _LOGGER,
@@ -255,6 +260,12 @@
             )
         return calls.unknown(exc.message, exc.step, exc.peer, used)
 
+    def _count_inversions(self) -> None:
+        new = self.admission.inversions
+        if new:
+            self._needs.counters.add(INVERSIONS, count=new)
+            self.admission.inversions = 0
+
     def _expected_s(self, call: calls.Call) -> float:
         found = self._needs.config.in_force
         if found is None or call.kind not in found.manifest.kinds:
@@ -263,6 +274,7 @@
 
     def _update_cutoff(self) -> None:
         self.admission.update_cutoff()
+        self._count_inversions()
         if self.announced is None or self.leaving:
             return
         if self._needs.timers.now() > self._expires_at:
@@ -275,6 +287,10 @@
     def _update_limit(self) -> None:
         self.admission.update_limit()
 
+    def _rank_of(self, level: int) -> int:
+        found = self._needs.config.in_force
+        return found.ladder.rank_index(level) if found else 0
+
     def _top(self) -> int:
         found = self._needs.config.in_force
         return found.ladder.top if found else 1
--- a/flamingolug/peers/_messages.py
+++ b/flamingolug/peers/_messages.py
@@ -144,6 +144,8 @@
     rev: int
     digest: str
     members: list[MemberMessage]
+    #: Checksum of the sender's table of present members.
+    sum: int
     #: Asks for all members.
     join: NotRequired[bool]
 
--- a/flamingolug_bench/deployment.py
+++ b/flamingolug_bench/deployment.py
@@ -98,7 +98,8 @@
                 process.send_signal(signal.SIGKILL)
         for process in self.processes.values():
             process.wait(_STOP_TIMEOUT_S)
-        shutil.rmtree(self.directory, ignore_errors=True)
+        if not os.environ.get("FLAMINGOLUG_BENCH_KEEP"):
+            shutil.rmtree(self.directory, ignore_errors=True)
 
     def start_store(self) -> None:
         """Starts the stand-in of the key-value service."""
@@ -158,12 +159,20 @@
         """Waits until every node knows every other and its service."""
         expected = {(each.name, each.service) for each in self.nodes}
         deadline = time.monotonic() + READY_TIMEOUT_S
-        while time.monotonic() < deadline:
-            if all(self._knows(each, expected) for each in self.nodes):
+        while True:
+            missing = [self._missing(each, expected) for each in self.nodes]
+            if not any(missing):
                 return
+            if time.monotonic() > deadline:
+                break
             gevent.sleep(0.1)
+        what = {
+            node.name: len(each)
+            for node, each in zip(self.nodes, missing, strict=True)
+            if each
+        }
         raise errors.FlamingolugError(
-            "nodes did not find each other", step="bench.start"
+            f"members unknown, by node: {what}", step="bench.start"
         )
 
     def backend_request(
@@ -275,18 +284,21 @@
         ]
         return "\n".join(lines) + "\n"
 
-    def _knows(self, node: NodePlan, expected: set[tuple[str, str]]) -> bool:
+    def _missing(
+        self, node: NodePlan, expected: set[tuple[str, str]]
+    ) -> set[tuple[str, str]]:
+        """Returns which members a node does not know to be alive."""
         try:
             body = request(node.http, "/-/members")
         except errors.FlamingolugError:
-            return False
+            return expected
         members = msgspec.json.decode(body)["members"]
         known = {
             (each["name"], each["service"])
             for each in members
             if each["state"] == "alive"
         }
-        return expected <= known
+        return expected - known
 
 
 def request(address: str, path: str, body: bytes = b"") -> bytes:
