At most once: keys have one owner, by views in the store and votes of peers

Cause: the owner of a key was whatever each node's own membership said, so two nodes with different views could both run it. Change: the store keeps one view of key owners for each service, one write for each change of members; a member may run while a majority of its view has voted for it in the last 3 s by its own clock, looked at last before the backend server gets the call; records move with their keys; what a lost owner may have run is unknown, unless the key's own time (UUID version 7) shows that it is newer. Only the owner's word makes a keyed call 'not run'. A kind whose chain holds a non-idempotent kind must be declared non-idempotent itself. Ruled out: a store write for each call (rate), leases renewed in the store (an hour of outage would stop all submissions), ownership by local membership (two runs), claims from a majority for each call (a replicated store of our own).

--- a/flamingolug/calls/_types.py
+++ b/flamingolug/calls/_types.py
@@ -39,6 +39,8 @@
     body: bytes
     #: Idempotency key, scoped to caller and kind; empty for none.
     key: str
+    #: Seconds since the Unix epoch when the key was made, 0 when unknown.
+    key_born_at: float
     caller: str
     #: Monotonic seconds of this process.
     deadline: float
--- a/flamingolug/manifest/_loading.py
+++ b/flamingolug/manifest/_loading.py
@@ -122,6 +122,14 @@
                 source,
             )
     _check_cycles(found, source)
+    for kind in found.kinds.values():
+        for below in found.called_kinds(kind.name):
+            _require(
+                kind.non_idempotent or not below.non_idempotent,
+                f"kinds.{kind.name}.non_idempotent: must be true, because "
+                f"its chain calls {below.name}, which is non-idempotent",
+                source,
+            )
     for kind in found.kinds.values():
         needed = found.attempts_needed(kind.name)
         _require(
--- a/flamingolug/node/_control.py
+++ b/flamingolug/node/_control.py
@@ -116,10 +116,11 @@
     def _leave(
         self, environ: web.Environ, start_response: web.StartResponse
     ) -> Iterable[bytes]:
+        """Withdraws the backend server; answers once it has no work."""
         del environ
         self._needs.upstream.withdraw()
-        busy = self._needs.upstream.admission.running
-        return web.json_response(start_response, _OK, {"running": busy})
+        cut_off = self._needs.upstream.drain(self._needs.cfg.drain_timeout_s)
+        return web.json_response(start_response, _OK, {"running": cut_off})
 
     def _drain(
         self, environ: web.Environ, start_response: web.StartResponse
@@ -164,6 +165,8 @@
                 "waiting": upstream.admission.waiting,
                 "cutoff": upstream.admission.cutoff,
                 "keys": len(upstream.outcomes),
+                "owners_epoch": upstream.owners.voter.view.epoch,
+                "owners": list(upstream.owners.voter.view.members),
                 "cpu_s": time.process_time(),
                 "rss_kb": _rss_kb(),
             },
--- a/flamingolug/node/_entry.py
+++ b/flamingolug/node/_entry.py
@@ -1,5 +1,6 @@
 """Turns an HTTP request into a call: a fresh request, or one of a parent."""
 
+import uuid
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -9,6 +10,7 @@
 from flamingolug import manifest
 from flamingolug import policy
 from flamingolug import telemetry
+from flamingolug import timing
 from flamingolug.node import _inflight
 from flamingolug.node import _outcomes
 from flamingolug.node import _wire
@@ -16,6 +18,10 @@
 #: Request identities remembered to recognise repeated ones.
 MAX_RECENT = 20_000
 _STEP = "entry"
+_TIMED_UUID_VERSION = 7
+_UUID_TIME_SHIFT = 80
+#: Seconds by which clocks of callers and nodes may differ.
+MAX_CLOCK_SKEW_S = 2.0
 
 
 class HttpRequest(NamedTuple):
@@ -46,13 +52,14 @@
         self,
         incarnation: int,
         in_flight: _inflight.InFlight,
-        now: Callable[[], float],
+        timers: timing.Timers,
         next_id: Callable[[], int],
     ) -> None:
         """Starts without memory of callers."""
+        self._wall = timers.wall
         self._incarnation = incarnation
         self._in_flight = in_flight
-        self._now = now
+        self._now = timers.now
         self._next_id = next_id
         self._shares = policy.FairShares()
         self._recent: dict[str, None] = {}
@@ -87,6 +94,7 @@
         caller = req.header(calls.HEADER_CALLER) or req.peer
         key = req.header(calls.HEADER_KEY)
         deadline_ms = min(_deadline_ms(req, kind), kind.deadline_ms)
+        born_at = key_birth(key, self._wall())
         if key:
             key = _outcomes.scoped_key(caller, kind.name, key)
         root_id = key or f"{self._incarnation:x}-{self._next_id():x}"
@@ -106,6 +114,7 @@
             headers=calls.forwardable(req.headers),
             body=req.body,
             key=key,
+            key_born_at=born_at,
             caller=caller,
             deadline=self._now() + deadline_ms / 1000.0,
             allowance=kind.attempts,
@@ -151,6 +160,7 @@
             headers=calls.forwardable(req.headers),
             body=req.body,
             key=key,
+            key_born_at=above.key_born_at,
             caller=above.caller,
             deadline=min(above.deadline, self._now() + deadline_s),
             allowance=share,
@@ -193,6 +203,23 @@
     return kind, target
 
 
+def key_birth(key: str, wall_s: float) -> float:
+    """Returns when a key was made, if it tells (UUID version 7, RFC 9562).
+
+    Returns:
+        Seconds since the Unix epoch; 0 when the key does not tell, or tells
+        a time to come, which a caller with a wrong clock would do.
+    """
+    try:
+        number = uuid.UUID(key)
+    except ValueError:
+        return 0.0
+    if number.version != _TIMED_UUID_VERSION:
+        return 0.0
+    born_at = (number.int >> _UUID_TIME_SHIFT) / 1000.0
+    return born_at if born_at <= wall_s + MAX_CLOCK_SKEW_S else 0.0
+
+
 def _deadline_ms(req: HttpRequest, kind: manifest.Kind) -> float:
     """Returns the milliseconds that the caller grants."""
     text = req.header(calls.HEADER_DEADLINE)
--- a/flamingolug/node/_outcomes.py
+++ b/flamingolug/node/_outcomes.py
@@ -9,6 +9,7 @@
 from gevent import event
 
 from flamingolug import calls
+from flamingolug import peers
 from flamingolug import telemetry
 
 #: Seconds that an outcome can be asked for.
@@ -17,6 +18,8 @@
 MAX_RECORDS = 50_000
 #: Larger answers are kept without their body.
 MAX_KEPT_BODY_BYTES = 65_536
+#: The same for answers that move to another node with their keys.
+MAX_MOVED_BODY_BYTES = 4_096
 STEP = "outcomes"
 
 
@@ -63,6 +66,62 @@
             return record.result.get()
         return calls.unknown("running", STEP, "", 0)
 
+    def knows(self, key: str) -> bool:
+        """Returns whether a key has a record here."""
+        return key in self._records
+
+    def export(self, moves: Callable[[str], bool]) -> list[peers.RecordMessage]:
+        """Returns the records of the keys for which `moves` holds."""
+        now = self._now()
+        found: list[peers.RecordMessage] = []
+        for key, record in self._records.items():
+            if not moves(key):
+                continue
+            outcome = calls.unknown("running", STEP, "", 0)
+            if record.result.ready():
+                outcome = _without_large_body(
+                    cast(calls.Outcome, record.result.get()),
+                    MAX_MOVED_BODY_BYTES,
+                )
+            found.append(
+                {
+                    "key": key,
+                    "print": record.fingerprint,
+                    "verdict": str(outcome.verdict),
+                    "status": outcome.status,
+                    "headers": list(outcome.headers),
+                    "body": outcome.body,
+                    "reason": outcome.reason,
+                    "age": now - record.begun_at,
+                }
+            )
+        return found
+
+    def take_over(self, records: list[peers.RecordMessage]) -> None:
+        """Adds the records of keys that moved here."""
+        for message in records:
+            if message["key"] in self._records:
+                continue
+            record = _Record(
+                message["print"],
+                self._now() - message["age"],
+                event.AsyncResult(),
+            )
+            record.result.set(
+                calls.Outcome(
+                    verdict=calls.Verdict(message["verdict"]),
+                    attempts=0,
+                    status=message["status"],
+                    headers=tuple(
+                        (name, value) for name, value in message["headers"]
+                    ),
+                    body=message["body"],
+                    reason=message["reason"],
+                    step=STEP,
+                )
+            )
+            self._records[message["key"]] = record
+
     def forget_old(self) -> None:
         """Drops records past their retention."""
         oldest = self._now() - RETENTION_S
@@ -101,7 +160,7 @@
             kept = _Record(
                 record.fingerprint, record.begun_at, event.AsyncResult()
             )
-            kept.result.set(outcome._replace(body=b""))
+            kept.result.set(_without_large_body(outcome, MAX_KEPT_BODY_BYTES))
             self._records[call.key] = kept
         record.result.set(outcome)
 
@@ -113,6 +172,19 @@
             return calls.unknown("running", STEP, "", call.allowance)
 
 
+def _without_large_body(
+    outcome: calls.Outcome, max_bytes: int
+) -> calls.Outcome:
+    """Returns an outcome that is small enough to keep.
+
+    An answer without its body is no whole answer: who asks again learns that
+    the call ran, and not more.
+    """
+    if len(outcome.body) <= max_bytes:
+        return outcome
+    return calls.unknown("answer-not-kept", STEP, "", outcome.attempts)
+
+
 def fingerprint(call: calls.Call) -> bytes:
     """Returns what a key must not be reused without."""
     digest = hashlib.blake2b(digest_size=16)
--- /dev/null
+++ b/flamingolug/node/_owners.py
@@ -0,0 +1,460 @@
+"""Keeps the right to run keyed calls of the service beside this node.
+
+Every second the node asks the other members of its view for their votes. One
+of them, the keeper, brings the view in line with the membership through the
+store. The rule itself stands in `flamingolug.ownership`.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+from gevent import event
+
+from flamingolug import calls
+from flamingolug import errors
+from flamingolug import membership
+from flamingolug import ownership
+from flamingolug import peers
+from flamingolug import store
+from flamingolug import telemetry
+from flamingolug import timing
+from flamingolug.node import _outcomes
+
+_LOGGER = logging.getLogger(__name__)
+VOTE_INTERVAL_S = 0.5
+VOTE_TIMEOUT_S = 1.0
+#: Seconds between two tries to find a view.
+FIND_INTERVAL_S = 1.0
+#: Seconds after the start from which unknown members count as gone.
+UNKNOWN_IS_GONE_S = 60.0
+HANDOVER_TIMEOUT_S = 2.0
+HANDOVER_TRIES = 3
+#: Seconds that a call waits for a right that is about to come.
+RIGHT_WAIT_S = 1.5
+#: Seconds by which a key must be younger than a takeover to be new for sure.
+BIRTH_MARGIN_S = 4.0
+VIEW_CHANGES = "flamingolug.ownership.views"
+_POLL_S = 0.02
+
+
+class Gap(NamedTuple):
+    """Keys whose earlier runs this node knows nothing of."""
+
+    #: They had this owner under this view.
+    view: ownership.View
+    owner: str
+    #: When this node took over, monotonic and wall seconds.
+    since: float
+    since_wall: float
+
+
+class Needs(NamedTuple):
+    """What ownership works with."""
+
+    members: membership.Membership
+    links: peers.Links
+    store: store.Store | None
+    outcomes: _outcomes.Outcomes
+    timers: timing.Timers
+    counters: telemetry.Counters
+    next_id: Callable[[], int]
+    #: Answers a message of a peer.
+    reply: Callable[
+        [peers.Inbound, peers.MessageType, peers.Message, bytes], object
+    ]
+
+
+class Owners:
+    """Views, votes and rights of one service at one node."""
+
+    def __init__(self, needs: Needs) -> None:
+        """Starts without a view."""
+        needs.counters.declare(
+            VIEW_CHANGES, "Views of key owners, by what was done", "result"
+        )
+        now = needs.timers.now()
+        self.voter = ownership.new_voter(now)
+        self._needs = needs
+        self._started_at = now
+        #: Whether this node wants to own no keys any more.
+        self.leaving = False
+        self._service = ""
+        self._asked_at: dict[str, float] = {}
+        self._previous_until = float("-inf")
+        self._had_majority = False
+        self._gaps: list[Gap] = []
+        self._handovers: dict[str, ownership.View] = {}
+        self._settled = event.Event()
+        self._settled.set()
+        self._changing = False
+        self._finding = False
+
+    def start(self) -> None:
+        """Begins to ask for votes."""
+        self._needs.timers.every(VOTE_INTERVAL_S, self._tick)
+
+    def serve(self, service: str) -> None:
+        """Sets the service beside this node."""
+        self._service = service
+        self.leaving = False
+
+    def check(self, call: calls.Call) -> calls.Outcome | None:
+        """Returns why a keyed call must not run here now, None if it may.
+
+        It waits a little for a right or a handover that is on its way.
+        """
+        now = self._needs.timers.now
+        until = min(now() + RIGHT_WAIT_S, call.deadline)
+        while not self._may_run(call.key):
+            owner = ownership.owner_in(self.voter.view, call.key)
+            if owner != self._own_name() or now() >= until:
+                return calls.not_run(
+                    telemetry.Refusal.NO_RIGHT, "ownership", owner or ""
+                )
+            gevent.sleep(_POLL_S)
+        return None
+
+    def may_run(self, key: str) -> bool:
+        """Returns whether this node may run a key at this moment."""
+        return self._may_run(key)
+
+    def is_doubtful(self, call: calls.Call) -> bool:
+        """Returns whether a key unseen here may have run elsewhere.
+
+        It waits for handovers that are on their way.
+        """
+        left_s = call.deadline - self._needs.timers.now()
+        self._settled.wait(max(min(left_s, RIGHT_WAIT_S), 0.0))
+        if not self._settled.is_set():
+            return True
+        for gap in self._gaps:
+            if ownership.owner_in(gap.view, call.key) != gap.owner:
+                continue
+            if call.key_born_at > gap.since_wall + BIRTH_MARGIN_S:
+                continue
+            return True
+        return False
+
+    def on_vote(self, inbound: peers.Inbound) -> None:
+        """Answers a request for a vote."""
+        message: peers.VoteMessage = inbound.message
+        if message["svc"] != self._service:
+            return
+        self._learn(message["epoch"], message.get("members"))
+        now = self._needs.timers.now()
+        self.voter = ownership.note_adopted(
+            self.voter, message["name"], message["epoch"], now
+        )
+        self.voter, granted = ownership.vote(self.voter, message["epoch"], now)
+        view = self.voter.view
+        answer: peers.VotedMessage = {
+            "id": message["id"],
+            "name": self._own_name(),
+            "epoch": view.epoch,
+            "granted": granted,
+        }
+        if view.epoch != message["epoch"]:
+            answer["members"] = list(view.members)
+        self._needs.reply(inbound, peers.MessageType.VOTED, answer, b"")
+
+    def on_handover(self, inbound: peers.Inbound) -> None:
+        """Gives the records of keys that moved to the sender."""
+        message: peers.HandoverMessage = inbound.message
+        self._learn(message["epoch"], message["members"])
+        view = self.voter.view
+        complete = view.epoch >= message["epoch"]
+        records: list[peers.RecordMessage] = []
+        if complete:
+            records = self._needs.outcomes.export(
+                lambda key: ownership.owner_in(view, key) == message["name"]
+            )
+        answer: peers.RecordsMessage = {
+            "id": message["id"],
+            "complete": complete,
+        }
+        self._needs.reply(
+            inbound,
+            peers.MessageType.RECORDS,
+            answer,
+            peers.encode_records(records),
+        )
+
+    def leave(self, timeout_s: float) -> None:
+        """Waits until this node owns no key any more."""
+        deadline = self._needs.timers.now() + timeout_s
+        while self._needs.timers.now() < deadline:
+            members = self.voter.view.members
+            if self._own_name() not in members or len(members) == 1:
+                # The new owners fetch the records now.
+                gevent.sleep(VOTE_INTERVAL_S)
+                return
+            gevent.sleep(_POLL_S)
+
+    def _own_name(self) -> str:
+        return self._needs.members.table.own.name
+
+    def _may_run(self, key: str) -> bool:
+        view = self.voter.view
+        return ownership.may_run(
+            self._own_name(),
+            key,
+            self._needs.timers.now(),
+            (view, ownership.right_until(view, self._asked_at)),
+            (self.voter.previous, self._previous_until),
+        )
+
+    def _tick(self) -> None:
+        """Asks for votes, and does the keeper's work where it falls here."""
+        self._forget_gaps()
+        view = self.voter.view
+        if view.epoch == 0:
+            self._find_view()
+            return
+        own = self._own_name()
+        if own not in view.members and self.leaving:
+            return
+        self._vote_for_itself()
+        for name in view.members:
+            if name != own:
+                gevent.spawn(self._ask_vote, name, view)
+        if own not in view.members:
+            # Not a member yet: learn of the view that lets this node in.
+            gevent.spawn(self._ask_vote, view.members[0], view)
+        until = ownership.right_until(view, self._asked_at)
+        self._had_majority |= until > self._needs.timers.now()
+        if self._is_keeper(view) and self._had_majority:
+            self._propose(view)
+
+    def _vote_for_itself(self) -> None:
+        now = self._needs.timers.now()
+        view = self.voter.view
+        self.voter, granted = ownership.vote(self.voter, view.epoch, now)
+        if granted and self._own_name() in view.members:
+            self._asked_at[self._own_name()] = now
+
+    def _ask_vote(self, name: str, view: ownership.View) -> None:
+        """Asks one member for its vote."""
+        member = self._needs.members.table.get(name)
+        if member is None or not member.is_present():
+            return
+        asked_at = self._needs.timers.now()
+        message: peers.VoteMessage = {
+            "id": self._needs.next_id(),
+            "name": self._own_name(),
+            "svc": self._service,
+            "epoch": view.epoch,
+        }
+        if self.voter.adopted.get(name, 0) < view.epoch:
+            message["members"] = list(view.members)
+        try:
+            answer = self._needs.links.to(member.peer).request(
+                peers.MessageType.VOTE, message, b"", VOTE_TIMEOUT_S
+            )
+        except errors.FlamingolugError:
+            return
+        voted: peers.VotedMessage = answer.message
+        self._learn(voted["epoch"], voted.get("members"))
+        self.voter = ownership.note_adopted(
+            self.voter, name, voted["epoch"], self._needs.timers.now()
+        )
+        if voted["granted"] and self.voter.view == view:
+            self._asked_at[name] = asked_at
+
+    def _learn(self, epoch: int, members: list[str] | None) -> None:
+        """Adopts a view that a peer tells of."""
+        if members is not None and epoch > self.voter.view.epoch:
+            self._adopt(ownership.View(epoch, tuple(members)))
+
+    def _adopt(self, view: ownership.View) -> None:
+        """Adopts a later view and sees to the keys that come with it."""
+        old = self.voter.view
+        if view.epoch <= old.epoch:
+            return
+        until = ownership.right_until(old, self._asked_at)
+        self.voter = ownership.adopt(self.voter, view, self._own_name())
+        self._previous_until = until
+        self._asked_at = {}
+        self._had_majority = False
+        self._needs.counters.add(VIEW_CHANGES, "adopted")
+        telemetry.event(
+            _LOGGER,
+            "owners.adopted",
+            service=self._service,
+            epoch=view.epoch,
+            members=",".join(view.members),
+        )
+        self._take_over(old, view)
+
+    def _take_over(self, old: ownership.View, view: ownership.View) -> None:
+        """Fetches the records of keys that this node owns newly."""
+        own = self._own_name()
+        if own not in view.members or view.epoch == 1:
+            return
+        if old.epoch == 0:
+            # It was a member before it started: it has forgotten its keys.
+            self._add_gap(view, own)
+            return
+        joined = own not in old.members
+        if old.epoch != view.epoch - 1:
+            sources = set(old.members) | set(view.members)
+        elif joined:
+            sources = set(old.members)
+        else:
+            sources = set(old.members) - set(view.members)
+        for name in sources - {own}:
+            self._handovers[name] = old
+            self._settled.clear()
+            gevent.spawn(self._fetch_records, name, old, view)
+
+    def _fetch_records(
+        self, name: str, old: ownership.View, view: ownership.View
+    ) -> None:
+        """Takes over the records of one earlier owner."""
+        complete = False
+        for _ in range(HANDOVER_TRIES):
+            complete = self._try_handover(name, view)
+            if complete:
+                break
+            gevent.sleep(VOTE_INTERVAL_S)
+        if not complete:
+            self._add_gap(old, name)
+        self._handovers.pop(name, None)
+        if not self._handovers:
+            self._settled.set()
+
+    def _try_handover(self, name: str, view: ownership.View) -> bool:
+        member = self._needs.members.table.get(name)
+        if member is None or member.state is membership.MemberState.DEAD:
+            return False
+        message: peers.HandoverMessage = {
+            "id": self._needs.next_id(),
+            "name": self._own_name(),
+            "svc": self._service,
+            "epoch": view.epoch,
+            "members": list(view.members),
+        }
+        try:
+            answer = self._needs.links.to(member.peer).request(
+                peers.MessageType.HANDOVER, message, b"", HANDOVER_TIMEOUT_S
+            )
+        except errors.FlamingolugError:
+            return False
+        found: peers.RecordsMessage = answer.message
+        self._needs.outcomes.take_over(peers.decode_records(answer.body))
+        return found["complete"]
+
+    def _add_gap(self, view: ownership.View, owner: str) -> None:
+        timers = self._needs.timers
+        self._gaps.append(Gap(view, owner, timers.now(), timers.wall()))
+        self._needs.counters.add(VIEW_CHANGES, "gap")
+        telemetry.event(_LOGGER, "owners.gap", peer=owner, epoch=view.epoch)
+
+    def _forget_gaps(self) -> None:
+        oldest = self._needs.timers.now() - _outcomes.RETENTION_S
+        self._gaps = [each for each in self._gaps if each.since > oldest]
+
+    def _find_view(self) -> None:
+        """Looks for a view: at peers first, then in the store."""
+        if not self._service or self._finding or self.leaving:
+            return
+        self._finding = True
+        gevent.spawn(self._find)
+
+    def _find(self) -> None:
+        try:
+            table = self._needs.members.table
+            for member in table.of_service(self._service):
+                if member.name != self._own_name():
+                    self._ask_vote(member.name, self.voter.view)
+                if self.voter.view.epoch:
+                    return
+            self._create_view()
+        finally:
+            self._finding = False
+
+    def _create_view(self) -> None:
+        """Reads the view from the store, or makes the first one."""
+        source = self._needs.store
+        if source is None:
+            return
+        key = ownership.view_key(self._service)
+        first = ownership.View(1, (self._own_name(),))
+        try:
+            entry = source.read(key)
+            found = ownership.decode_view(entry.value)
+            if found.epoch == 0:
+                source.swap(key, ownership.encode_view(first), entry.version)
+                found = first
+                # Nobody voted under a service's first view before.
+                self.voter = self.voter._replace(hold_until=0.0)
+            self._adopt(found)
+        except errors.FlamingolugError as exc:
+            self._log_failure(exc)
+
+    def _is_keeper(self, view: ownership.View) -> bool:
+        """Returns whether this node changes the view when it must."""
+        present = set(self._present())
+        able = [each for each in view.members if each in present]
+        return bool(able) and able[0] == self._own_name()
+
+    def _present(self) -> list[str]:
+        return [
+            each.name
+            for each in self._needs.members.table.of_service(self._service)
+            if each.state is membership.MemberState.ALIVE
+        ]
+
+    def _gone(self, view: ownership.View) -> list[str]:
+        """Returns members that left, died or serve something else now."""
+        age_s = self._needs.timers.now() - self._started_at
+        gone: list[str] = []
+        for name in view.members:
+            member = self._needs.members.table.get(name)
+            if member is None:
+                if age_s > UNKNOWN_IS_GONE_S:
+                    gone.append(name)
+                continue
+            if not member.is_present() or (member.service != self._service):
+                gone.append(name)
+        return gone
+
+    def _propose(self, view: ownership.View) -> None:
+        """Brings the view in line with the membership."""
+        wanted = ownership.next_view(view, self._present(), self._gone(view))
+        source = self._needs.store
+        if wanted is None or source is None or self._changing:
+            return
+        self._changing = True
+        gevent.spawn(self._swap_view, source, view, wanted)
+
+    def _swap_view(
+        self,
+        source: store.Store,
+        view: ownership.View,
+        wanted: ownership.View,
+    ) -> None:
+        key = ownership.view_key(self._service)
+        try:
+            entry = source.read(key)
+            found = ownership.decode_view(entry.value)
+            if found.epoch != view.epoch:
+                self._adopt(found)
+                return
+            source.swap(key, ownership.encode_view(wanted), entry.version)
+            self._adopt(wanted)
+        except errors.FlamingolugError as exc:
+            self._log_failure(exc)
+        finally:
+            self._changing = False
+
+    def _log_failure(self, exc: errors.FlamingolugError) -> None:
+        telemetry.event(
+            _LOGGER,
+            "owners.store-failed",
+            level=logging.WARNING,
+            step=exc.step,
+            peer=exc.peer,
+            error=exc.message,
+        )
--- a/flamingolug/node/_plugins.py
+++ b/flamingolug/node/_plugins.py
@@ -21,6 +21,8 @@
 from flamingolug.node import _front
 from flamingolug.node import _health
 from flamingolug.node import _inbound
+from flamingolug.node import _outcomes
+from flamingolug.node import _owners
 from flamingolug.node import _router
 from flamingolug.node import _upstream
 from flamingolug.node import _wire
@@ -208,9 +210,38 @@
     )
 
 
+@kernel.plugin("outcomes", ("timers",))
+def _build_outcomes(built: kernel.Kernel) -> object:
+    return _outcomes.Outcomes(_timers(built).now)
+
+
+@kernel.plugin(
+    "owners", ("membership", "links", "store", "outcomes", "endpoint")
+)
+def _build_owners(built: kernel.Kernel) -> object:
+    endpoint = built.get("endpoint", peers.Endpoint)
+    owners = _owners.Owners(
+        _owners.Needs(
+            members=built.get("membership", membership.Membership),
+            links=built.get("links", peers.Links),
+            store=cast("store.Store | None", built.get("store", object)),
+            outcomes=built.get("outcomes", _outcomes.Outcomes),
+            timers=_timers(built),
+            counters=_counters(built),
+            next_id=_identity(built).next_id,
+            reply=lambda inbound, kind, message, body: endpoint.reply(
+                inbound.route, kind, message, body
+            ),
+        )
+    )
+    endpoint.on(peers.MessageType.VOTE, owners.on_vote)
+    endpoint.on(peers.MessageType.HANDOVER, owners.on_handover)
+    return owners
+
+
 @kernel.plugin(
     "upstream",
-    ("settings", "configuration", "membership", "loads", "telemetry"),
+    ("settings", "configuration", "membership", "loads", "owners"),
 )
 def _build_upstream(built: kernel.Kernel) -> object:
     return _upstream.Upstream(
@@ -222,6 +253,8 @@
             timers=_timers(built),
             counters=_counters(built),
             incarnation=_identity(built).incarnation,
+            outcomes=built.get("outcomes", _outcomes.Outcomes),
+            owners=built.get("owners", _owners.Owners),
         )
     )
 
@@ -291,7 +324,7 @@
             entry=_entry.Entry(
                 identity.incarnation,
                 upstream.in_flight,
-                timers.now,
+                timers,
                 identity.next_id,
             ),
             router=built.get("routing", _router.Router),
--- a/flamingolug/node/_program.py
+++ b/flamingolug/node/_program.py
@@ -86,6 +86,7 @@
     deadline = time.monotonic() + cfg.drain_timeout_s
     upstream.withdraw()
     front.server.announce_stop()
+    upstream.drain(cfg.drain_timeout_s)
     members.leave()
     gevent.sleep(min(LEAVE_NOTICE_S, cfg.drain_timeout_s))
     while inbound.is_busy() or upstream.is_busy():
--- a/flamingolug/node/_router.py
+++ b/flamingolug/node/_router.py
@@ -3,6 +3,8 @@
 import random
 from typing import NamedTuple
 
+import gevent
+
 from flamingolug import calls
 from flamingolug import configuration
 from flamingolug import errors
@@ -13,6 +15,7 @@
 from flamingolug import telemetry
 from flamingolug import timing
 from flamingolug.node import _baseline
+from flamingolug.node import _below
 from flamingolug.node import _health
 from flamingolug.node import _upstream
 from flamingolug.node import _wire
@@ -21,6 +24,8 @@
 MAX_TRIES = 3
 #: Seconds that an answer may take beyond the deadline to travel.
 ANSWER_GRACE_S = 0.05
+#: Seconds before the owner of a key is asked again.
+OWNER_RETRY_S = 0.1
 #: Limit assumed of an upstream that has not reported yet.
 ASSUMED_LIMIT = 4
 RETRIES = "flamingolug.retries"
@@ -87,18 +92,9 @@
         found = self._needs.config.in_force
         if found is None:
             return calls.not_run(telemetry.Refusal.NO_MANIFEST, "entry")
-        if self._baseline is not None:
+        if self._baseline is not None or (call.non_idempotent and call.key):
             return None
-        level = found.ladder.level(call.root_kind, True, call.spread)
-        for kind in found.manifest.called_kinds(call.kind):
-            admitted = self._needs.loads.deep_level(
-                kind.service, found.revision
-            )
-            if level > admitted:
-                return calls.not_run(
-                    telemetry.Refusal.LEVEL, "entry", kind.service
-                )
-        return None
+        return _below.refuse_below(call, found, self._needs.loads)
 
     def route(self, call: calls.Call) -> calls.Outcome:
         """Returns the outcome of a call, after retries where harmless."""
@@ -108,7 +104,10 @@
         self._needs.members.use_service(call.service)
         if self._baseline is not None:
             return self._baseline.route(call)
-        outcome = self._try_upstreams(call, found)
+        if call.non_idempotent and call.key:
+            outcome = self._route_to_owner(call, found)
+        else:
+            outcome = self._try_upstreams(call, found)
         self._needs.counters.add(CALLS, call.service, str(outcome.verdict))
         return outcome
 
@@ -162,8 +161,6 @@
         """Returns the upstream to send to, or the refusal."""
         table = self._needs.members.table
         members = table.of_service(call.service)
-        if call.non_idempotent and call.key:
-            return self._pick_owner(call, members)
         candidates = [self._candidate(each, found) for each in members]
         self._observe(call.service, candidates, found)
         choice = policy.choose_upstream(
@@ -176,20 +173,42 @@
         refusal = choice.refusal or telemetry.Refusal.NO_UPSTREAM
         return None, calls.not_run(refusal, "route", call.service)
 
-    def _pick_owner(
-        self, call: calls.Call, members: list[membership.Member]
-    ) -> tuple[membership.Member | None, calls.Outcome]:
-        """Returns the one upstream that may run a keyed call."""
-        name = policy.owner_of(call.key, [each.name for each in members])
-        if name is None:
-            return None, calls.not_run(
-                telemetry.Refusal.NO_UPSTREAM, "route", call.service
-            )
-        owner = self._needs.members.table.get(name)
-        if owner is not None and owner.state is membership.MemberState.DEAD:
-            # It may have run the key before it went.
-            return None, calls.unknown("owner-gone", "route", name, 0)
-        return owner, calls.not_run(telemetry.Refusal.NO_UPSTREAM, "route")
+    def _route_to_owner(
+        self, call: calls.Call, found: configuration.InForce
+    ) -> calls.Outcome:
+        """Sends a keyed non-idempotent call to the node that owns its key.
+
+        Only the owner can tell whether an earlier try has run, so nothing is
+        refused on the way to it.
+        """
+        table = self._needs.members.table
+        names = [
+            each.name
+            for each in table.of_service(call.service)
+            if each.is_present()
+        ]
+        name = policy.owner_of(call.key, names)
+        outcome = calls.not_run(
+            telemetry.Refusal.NO_UPSTREAM, "route", call.service
+        )
+        needed = found.manifest.attempts_needed(call.kind)
+        if call.allowance < needed:
+            return calls.not_run(telemetry.Refusal.ALLOWANCE, "route")
+        for _ in range(MAX_TRIES):
+            member = table.get(name) if name else None
+            if member is None:
+                return _doubted(outcome)
+            outcome = self._send(member, call)
+            if not _is_misrouted(outcome):
+                return _doubted(outcome)
+            # Its own view names another owner; the right may be on its way.
+            if outcome.peer == name or not outcome.peer:
+                gevent.sleep(OWNER_RETRY_S)
+            name = outcome.peer or name
+            if self._needs.timers.now() + OWNER_RETRY_S > call.deadline:
+                break
+            self._needs.counters.add(RETRIES, str(telemetry.Retry.NOT_RUN))
+        return _doubted(outcome)
 
     def _candidate(
         self, member: membership.Member, found: configuration.InForce
@@ -239,7 +258,8 @@
     ) -> calls.Outcome:
         """Sends one attempt; its `attempts` covers all that may be used."""
         if member.name == self._needs.cfg.name:
-            return _charge(self._needs.upstream.serve(call))
+            outcome = self._needs.upstream.serve(call)
+            return outcome if _is_misrouted(outcome) else _charge(outcome)
         name = member.name
         self._outstanding[name] = self._outstanding.get(name, 0) + 1
         try:
@@ -252,7 +272,7 @@
         if lost:
             self._needs.members.report_lost(name)
         self._needs.health.record(name, not lost)
-        return _charge(outcome)
+        return outcome if _is_misrouted(outcome) else _charge(outcome)
 
     def _send_to_peer(
         self, member: membership.Member, call: calls.Call
@@ -317,6 +337,31 @@
     return outcome._replace(attempts=max(outcome.attempts, 1))
 
 
+def _is_misrouted(outcome: calls.Outcome) -> bool:
+    """Returns whether another node owns the key; this is no attempt."""
+    return outcome.reason == telemetry.Refusal.NO_RIGHT
+
+
+#: Steps of refusals that are not the word of a key's owner.
+_OTHERS_STEPS = frozenset(
+    {"route", "link", "link.request", "inbound", "ownership"}
+)
+
+
+def _doubted(outcome: calls.Outcome) -> calls.Outcome:
+    """Says `unknown` where the owner of the key was not heard.
+
+    This try did not run, but an earlier one with the same key may have.
+    """
+    if outcome.verdict is not calls.Verdict.NOT_RUN:
+        return outcome
+    if outcome.step not in _OTHERS_STEPS and (
+        outcome.reason != telemetry.Refusal.NO_UPSTREAM
+    ):
+        return outcome
+    return outcome._replace(verdict=calls.Verdict.UNKNOWN)
+
+
 def _honest(outcome: calls.Outcome, may_have_run: bool) -> calls.Outcome:
     """Says `unknown` where an earlier attempt may have run."""
     if may_have_run and outcome.verdict is calls.Verdict.NOT_RUN:
--- a/flamingolug/node/_upstream.py
+++ b/flamingolug/node/_upstream.py
@@ -3,6 +3,8 @@
 import logging
 from typing import NamedTuple
 
+import gevent
+
 from flamingolug import calls
 from flamingolug import configuration
 from flamingolug import errors
@@ -15,8 +17,10 @@
 from flamingolug import timing
 from flamingolug import web
 from flamingolug.node import _admission
+from flamingolug.node import _below
 from flamingolug.node import _inflight
 from flamingolug.node import _outcomes
+from flamingolug.node import _owners
 
 _LOGGER = logging.getLogger(__name__)
 REFUSALS = "flamingolug.refusals"
@@ -27,6 +31,9 @@
 FORGET_INTERVAL_S = 10.0
 #: Seconds an announcement holds when it names no other time.
 ANNOUNCEMENT_S = 10.0
+#: Seconds that others may take to own the keys of a node that leaves.
+OWNERS_LEAVE_S = 8.0
+_POLL_S = 0.02
 #: Members told at once that the backend server comes or goes.
 PUSH_COUNT = 8
 
@@ -50,6 +57,8 @@
     timers: timing.Timers
     counters: telemetry.Counters
     incarnation: int
+    outcomes: _outcomes.Outcomes
+    owners: _owners.Owners
 
 
 class Upstream:
@@ -69,7 +78,8 @@
         self.announced: Announcement | None = None
         self.leaving = False
         self.in_flight = _inflight.InFlight(needs.incarnation, needs.timers.now)
-        self.outcomes = _outcomes.Outcomes(needs.timers.now)
+        self.outcomes = needs.outcomes
+        self.owners = needs.owners
         self.admission = _admission.Admission(
             policy.initial_limit(1, 1), 1, needs.timers.now
         )
@@ -112,6 +122,7 @@
             peer=announced.address,
             slots=announced.slots,
         )
+        self.owners.serve(announced.service)
         self._needs.members.update_own(service=announced.service)
         self._needs.members.push_some(PUSH_COUNT)
 
@@ -123,10 +134,22 @@
         telemetry.event(
             _LOGGER, "upstream.leaving", service=self.announced.service
         )
-        self.admission.close(telemetry.Refusal.LEAVING)
+        self.owners.leaving = True
         self._needs.members.update_own(service="")
         self._needs.members.push_some(PUSH_COUNT)
 
+    def drain(self, timeout_s: float) -> int:
+        """Waits until others own its keys and nothing runs or waits.
+
+        Returns:
+            The number of calls that still run at the timeout.
+        """
+        deadline = self._needs.timers.now() + timeout_s
+        self.owners.leave(min(timeout_s, OWNERS_LEAVE_S))
+        while self.is_busy() and self._needs.timers.now() < deadline:
+            gevent.sleep(_POLL_S)
+        return self.admission.running
+
     def is_busy(self) -> bool:
         """Returns whether calls run or wait."""
         return bool(self.admission.running or self.admission.waiting)
@@ -153,12 +176,22 @@
         """Runs a call, at most once for a keyed non-idempotent one."""
         if self._needs.cfg.control == "none":
             return self._run(call)
-        if call.non_idempotent and call.key:
-            return self.outcomes.run(call, self._serve_counted)
-        return self._serve_counted(call)
+        if not call.non_idempotent or not call.key:
+            return self._serve_counted(call)
+        if not self.outcomes.knows(call.key):
+            refused = self.owners.check(call)
+            if refused is not None:
+                return self._counted(refused)
+            if self.owners.is_doubtful(call):
+                return calls.unknown(
+                    "earlier-owner-gone", "ownership", self._needs.cfg.name, 0
+                )
+        return self.outcomes.run(call, self._serve_counted)
 
     def _serve_counted(self, call: calls.Call) -> calls.Outcome:
-        outcome = self._serve(call)
+        return self._counted(self._serve(call))
+
+    def _counted(self, outcome: calls.Outcome) -> calls.Outcome:
         if outcome.verdict is calls.Verdict.NOT_RUN:
             self._needs.counters.add(REFUSALS, outcome.reason, outcome.step)
         return outcome
@@ -169,8 +202,14 @@
         announced = self.announced
         if announced is None or announced.service != call.service:
             return calls.not_run(telemetry.Refusal.NO_UPSTREAM, "upstream", own)
-        if self.leaving:
+        if self.leaving and not (call.non_idempotent and call.key):
+            # Keyed calls come until another node owns their keys.
             return calls.not_run(telemetry.Refusal.LEAVING, "upstream", own)
+        if call.non_idempotent and call.key and call.depth == 0:
+            # Nothing was refused on the way to the owner of the key.
+            refused = self._refuse_below(call)
+            if refused is not None:
+                return refused
         admission = self.admission
         expected_s = self._expected_s(call)
         try:
@@ -185,6 +224,13 @@
             admission.leave(call.kind, self._needs.timers.now() - began, own_s)
         return outcome
 
+    def _refuse_below(self, call: calls.Call) -> calls.Outcome | None:
+        found = self._needs.config.in_force
+        if found is None:
+            return None
+        refused = _below.refuse_below(call, found, self._needs.loads)
+        return refused and refused._replace(step="upstream")
+
     def _run(self, call: calls.Call) -> calls.Outcome:
         return self._run_timed(call)[0]
 
@@ -193,6 +239,10 @@
     ) -> tuple[calls.Outcome, float | None]:
         """Runs the call; returns its own time too, None when it failed."""
         began = self._needs.timers.now()
+        if self._has_lost_right(call):
+            return calls.not_run(
+                telemetry.Refusal.NO_RIGHT, "upstream", self._needs.cfg.name
+            ), None
         parent = self.in_flight.open(call)
         own_s: float | None = None
         try:
@@ -205,6 +255,18 @@
         self._needs.counters.add(SERVED, str(outcome.verdict))
         return outcome, own_s
 
+    def _has_lost_right(self, call: calls.Call) -> bool:
+        """Returns whether a keyed call must not run any more.
+
+        This is looked at last, after every wait: the node may have been
+        paused, and another one may own the key by now.
+        """
+        if not call.non_idempotent or not call.key:
+            return False
+        if self._needs.cfg.control == "none":
+            return False
+        return not self.owners.may_run(call.key)
+
     def _exchange(
         self, call: calls.Call, parent: _inflight.Parent
     ) -> calls.Outcome:
--- /dev/null
+++ b/flamingolug/ownership/_view.py
@@ -0,0 +1,82 @@
+"""Views: the agreed owners of one service's keys, in one order by the store.
+
+The store keeps one view for each service. A view differs from the one before
+it by one member, so that any majority of one meets any majority of the other.
+"""
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+import msgspec
+
+from flamingolug import errors
+from flamingolug import policy
+
+
+class View(NamedTuple):
+    """Owners of one service's keys."""
+
+    #: Counts up by one with each change; 0 is no view.
+    epoch: int
+    #: Names of the nodes, sorted.
+    members: tuple[str, ...]
+
+
+NO_VIEW = View(0, ())
+_DECODER = msgspec.json.Decoder(View)
+
+
+def view_key(service: str) -> str:
+    """Returns the key under which the store keeps a service's view."""
+    return f"flamingolug/owners/{service}"
+
+
+def encode_view(view: View) -> bytes:
+    """Returns the stored form."""
+    return msgspec.json.encode(view)
+
+
+def decode_view(data: bytes) -> View:
+    """Returns the view in `data`, `NO_VIEW` when it is empty.
+
+    Raises:
+        ConfigurationError: the data is damaged.
+    """
+    if not data:
+        return NO_VIEW
+    try:
+        return _DECODER.decode(data)
+    except msgspec.MsgspecError as exc:
+        raise errors.ConfigurationError(
+            f"stored view is damaged: {exc}", step="view.decode"
+        ) from exc
+
+
+def owner_in(view: View, key: str) -> str | None:
+    """Returns the owner of a key, None in an empty view."""
+    return policy.owner_of(key, view.members)
+
+
+def next_view(
+    view: View, present: Collection[str], gone: Collection[str]
+) -> View | None:
+    """Returns the view that should follow, None when it fits.
+
+    One member is changed: one that is gone leaves before one that is present
+    joins. The last member is never removed, because nobody would be left
+    whose vote stops it.
+
+    Args:
+        view: the current view.
+        present: names of the nodes that are alive beside the service.
+        gone: names of the nodes that left or are dead.
+    """
+    for name in view.members:
+        if name in gone and len(view.members) > 1:
+            kept = tuple(each for each in view.members if each != name)
+            return View(view.epoch + 1, kept)
+    for name in sorted(present):
+        if name not in view.members:
+            grown = tuple(sorted((*view.members, name)))
+            return View(view.epoch + 1, grown)
+    return None
--- a/flamingolug/peers/__init__.py
+++ b/flamingolug/peers/__init__.py
@@ -12,16 +12,24 @@
 from flamingolug.peers._messages import CallMessage
 from flamingolug.peers._messages import CancelMessage
 from flamingolug.peers._messages import decode
+from flamingolug.peers._messages import decode_records
 from flamingolug.peers._messages import encode
+from flamingolug.peers._messages import encode_records
 from flamingolug.peers._messages import FetchMessage
+from flamingolug.peers._messages import HandoverMessage
 from flamingolug.peers._messages import LoadReport
 from flamingolug.peers._messages import ManifestMessage
 from flamingolug.peers._messages import MemberMessage
+from flamingolug.peers._messages import Message
 from flamingolug.peers._messages import MessageType
 from flamingolug.peers._messages import OutcomeMessage
 from flamingolug.peers._messages import PingMessage
+from flamingolug.peers._messages import RecordMessage
+from flamingolug.peers._messages import RecordsMessage
 from flamingolug.peers._messages import SettledMessage
 from flamingolug.peers._messages import SettleMessage
+from flamingolug.peers._messages import VotedMessage
+from flamingolug.peers._messages import VoteMessage
 
 __all__ = [
     "AnswerMessage",
@@ -29,6 +37,7 @@
     "CancelMessage",
     "Endpoint",
     "FetchMessage",
+    "HandoverMessage",
     "Inbound",
     "Link",
     "LinkOptions",
@@ -36,14 +45,21 @@
     "LoadReport",
     "ManifestMessage",
     "MemberMessage",
+    "Message",
     "MessageType",
     "OutcomeMessage",
     "PeerKeys",
     "PingMessage",
+    "RecordMessage",
+    "RecordsMessage",
     "SettleMessage",
     "SettledMessage",
+    "VoteMessage",
+    "VotedMessage",
     "decode",
+    "decode_records",
     "derive_keys",
     "encode",
+    "encode_records",
     "make_id_source",
 ]
--- a/flamingolug/peers/_messages.py
+++ b/flamingolug/peers/_messages.py
@@ -31,6 +31,10 @@
     FETCH = 8
     MANIFEST = 9
     OUTCOME = 10
+    VOTE = 11
+    VOTED = 12
+    HANDOVER = 13
+    RECORDS = 14
 
 
 class LoadReport(TypedDict):
@@ -71,6 +75,8 @@
     path: str
     headers: list[tuple[str, str]]
     key: str
+    #: Seconds since the epoch when the key was made, 0 when unknown.
+    born: float
     caller: str
     #: Milliseconds until the deadline.
     left: float
@@ -164,6 +170,61 @@
     digest: str
 
 
+class VoteMessage(TypedDict):
+    """Asks for a vote in a view of the owners of a service's keys."""
+
+    id: int
+    name: str
+    svc: str
+    epoch: int
+    #: Members of the view, where the receiver may not know it.
+    members: NotRequired[list[str]]
+
+
+class VotedMessage(TypedDict):
+    """Answers a vote; `members` belong to `epoch`, the receiver's own."""
+
+    id: int
+    name: str
+    epoch: int
+    granted: bool
+    members: NotRequired[list[str]]
+
+
+class RecordMessage(TypedDict):
+    """What became of one key."""
+
+    key: str
+    print: bytes
+    verdict: str
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    reason: str
+    #: Seconds since it began.
+    age: float
+
+
+class HandoverMessage(TypedDict):
+    """Asks for the records of keys that the sender now owns."""
+
+    id: int
+    name: str
+    svc: str
+    epoch: int
+    members: list[str]
+
+
+class RecordsMessage(TypedDict):
+    """Answers a handover; `complete` only if the epoch was adopted.
+
+    The body holds the records.
+    """
+
+    id: int
+    complete: bool
+
+
 class OutcomeMessage(TypedDict):
     """Asks what became of an idempotency key."""
 
@@ -181,6 +242,10 @@
     | FetchMessage
     | ManifestMessage
     | OutcomeMessage
+    | VoteMessage
+    | VotedMessage
+    | HandoverMessage
+    | RecordsMessage
 )
 
 _TYPES: dict[MessageType, Any] = {
@@ -194,6 +259,10 @@
     MessageType.FETCH: FetchMessage,
     MessageType.MANIFEST: ManifestMessage,
     MessageType.OUTCOME: OutcomeMessage,
+    MessageType.VOTE: VoteMessage,
+    MessageType.VOTED: VotedMessage,
+    MessageType.HANDOVER: HandoverMessage,
+    MessageType.RECORDS: RecordsMessage,
 }
 _DECODERS = {
     kind: msgspec.msgpack.Decoder(shape) for kind, shape in _TYPES.items()
@@ -234,3 +303,23 @@
         return kind, _DECODERS[kind].decode(head), body
     except (ValueError, msgspec.MsgspecError) as exc:
         raise errors.CodecError(str(exc), step="peer.decode") from exc
+
+
+_RECORDS_DECODER = msgspec.msgpack.Decoder(list[RecordMessage])
+
+
+def encode_records(records: list[RecordMessage]) -> bytes:
+    """Returns the body of a RECORDS message."""
+    return _ENCODER.encode(records)
+
+
+def decode_records(body: bytes) -> list[RecordMessage]:
+    """Returns the records in a body.
+
+    Raises:
+        CodecError: it is malformed.
+    """
+    try:
+        return _RECORDS_DECODER.decode(body)
+    except msgspec.MsgspecError as exc:
+        raise errors.CodecError(str(exc), step="peer.records") from exc
--- a/flamingolug_bench/deployment.py
+++ b/flamingolug_bench/deployment.py
@@ -219,6 +219,35 @@
             self._wait_store()
             self.wait_ready()
             self.apply(self.plan.manifest)
+            self._wait_owners()
+
+    def _wait_owners(self) -> None:
+        """Waits until every upstream of a service owns keys."""
+        wanted = {
+            service.name: len(service.zones)
+            for service in self.plan.services
+            if service.name
+        }
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            counts = {
+                node.service: len(self.status(node)["owners"])
+                for node in self.nodes
+                if node.service
+            }
+            if counts == wanted:
+                return
+            gevent.sleep(0.1)
+        raise errors.FlamingolugError(
+            f"owners are {counts}, not {wanted}", step="bench.start"
+        )
+
+    def status(self, node: NodePlan) -> dict[str, Any]:
+        """Returns what a node says of itself."""
+        found: dict[str, Any] = msgspec.json.decode(
+            request(node.http, "/-/status")
+        )
+        return found
 
     def _wait_store(self) -> None:
         deadline = time.monotonic() + READY_TIMEOUT_S
--- a/flamingolug_bench/program.py
+++ b/flamingolug_bench/program.py
@@ -1,6 +1,7 @@
 """Program `flamingolug-bench`: runs one experiment on real processes."""
 
 import argparse
+import signal
 import time
 from typing import Any
 
@@ -17,6 +18,8 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--duration", type=float, default=0.0)
     args = parser.parse_args()
+    # A bench that is told to stop ends what it has started.
+    signal.signal(signal.SIGTERM, _interrupt)
     scenes = _scenes()
     if args.scene not in scenes:
         print("scenes:", " ".join(sorted(scenes)))
@@ -28,6 +31,10 @@
     print(f"result scene={args.scene} seed={args.seed} {pairs}")
 
 
+def _interrupt(number: int, frame: object) -> None:
+    raise KeyboardInterrupt
+
+
 def _scenes() -> dict[str, Any]:
     """Returns a function for each scene by name."""
     scenes: dict[str, Any] = {"overhead": overhead.run}
--- a/flamingolug_standins/backend.py
+++ b/flamingolug_standins/backend.py
@@ -21,6 +21,7 @@
 _MAX_BODY_BYTES = 8_388_608
 ANNOUNCE_INTERVAL_S = 2.0
 CALL_TIMEOUT_S = 10.0
+LEAVE_TIMEOUT_S = 12.0
 
 
 class KindPlan(msgspec.Struct, forbid_unknown_fields=True):
@@ -89,7 +90,7 @@
     def leave(self) -> None:
         """Tells its node that it takes no new work."""
         self._leaving = True
-        self._tell_node("/-/leave", {})
+        self._tell_node("/-/leave", {}, LEAVE_TIMEOUT_S)
 
     def _announce(self) -> None:
         plan = self.plan
@@ -105,7 +106,9 @@
             )
             gevent.sleep(ANNOUNCE_INTERVAL_S)
 
-    def _tell_node(self, path: str, message: object) -> None:
+    def _tell_node(
+        self, path: str, message: object, timeout_s: float = 1.0
+    ) -> None:
         try:
             web.exchange(
                 self._node,
@@ -113,7 +116,7 @@
                 path,
                 (),
                 msgspec.json.encode(message),
-                timeout_s=1.0,
+                timeout_s=timeout_s,
                 max_body_bytes=_MAX_BODY_BYTES,
             )
         except errors.FlamingolugError:
@@ -185,10 +188,11 @@
     ) -> web.Reply | None:
         """Makes the calls of its own; returns the first that failed."""
         context = environ.get("HTTP_FLAMINGOLUG_CONTEXT", "")
-        for service, kind, method, path in plan.calls:
+        for done, (service, kind, method, path) in enumerate(plan.calls):
             reply = self._call(service, kind, method, path, context)
             if reply.status != 200:
-                return reply
+                # After a call that took effect it cannot say `not-run`.
+                return reply if not done else reply._replace(headers=())
         return None
 
     def _call(
@@ -216,6 +220,8 @@
     """Answers that a call of its own failed."""
     status = "503 Service Unavailable"
     headers: list[tuple[str, str]] = [("Content-Length", str(len(failed.body)))]
+    if failed.header(calls.HEADER_OUTCOME) == "not-run":
+        headers.append((calls.HEADER_OUTCOME, "not-run"))
     start_response(status, headers)
     return [failed.body]
 
