--- a/flamingolug/documents/_yaml.py
+++ b/flamingolug/documents/_yaml.py
@@ -99,6 +99,7 @@
     found: list[Problem] = []
     for error in validator.iter_errors(tree):
         path = [str(part) for part in error.absolute_path]
+        path += _unknown_key(error)
         found.append(
             Problem(
                 line=_line_of(node, path),
@@ -111,6 +112,16 @@
     return sorted(found)
 
 
+def _unknown_key(error: jsonschema.ValidationError) -> list[str]:
+    """Returns the first key that the schema does not know, if that is it."""
+    if error.validator != "additionalProperties":
+        return []
+    schema: Any = error.schema
+    known = schema.get("properties", {})
+    instance: Any = error.instance
+    return [str(key) for key in instance if key not in known][:1]
+
+
 def _explain(error: jsonschema.ValidationError) -> str:
     """Returns the validator's message with the allowed values."""
     schema: Any = error.schema
--- a/flamingolug/node/_admission.py
+++ b/flamingolug/node/_admission.py
@@ -138,6 +138,20 @@
         self._used_up = True
         self._wait(level, deadline, times.held_s)
 
+    def refuse_if_full(self, level: int) -> bool:
+        """Returns whether a call of `level` would be shed at once.
+
+        It costs a fraction of entering, and counts as a call shed.
+        """
+        capacity = policy.wait_capacity(int(self.limit.limit), self._held_s)
+        if len(self._waiting) < capacity:
+            return False
+        if level < self._waiting[-1].level:
+            return False
+        self._offered[level] = self._offered.get(level, 0) + 1
+        self._shed += 1
+        return True
+
     def leave(self, kind: str, held_s: float, own_s: float | None) -> None:
         """Gives back a slot.
 
--- a/flamingolug/node/_plugins.py
+++ b/flamingolug/node/_plugins.py
@@ -71,7 +71,7 @@
 def _build_endpoint(built: kernel.Kernel) -> object:
     return peers.Endpoint(
         zmq.Context.instance(),
-        str(_settings(built).peer_address),
+        str(_settings(built).peer_bind_address),
         built.get("keys", peers.PeerKeys),
         _counters(built),
         _timers(built).now,
--- a/flamingolug/node/_upstream.py
+++ b/flamingolug/node/_upstream.py
@@ -186,6 +186,14 @@
                 return calls.unknown(
                     "earlier-owner-gone", "ownership", self._needs.cfg.name, 0
                 )
+            if self.admission.refuse_if_full(call.level):
+                return self._counted(
+                    calls.not_run(
+                        telemetry.Refusal.SHED,
+                        "admission",
+                        self._needs.cfg.name,
+                    )
+                )
         return self.outcomes.run(call, self._serve_counted)
 
     def _serve_counted(self, call: calls.Call) -> calls.Outcome:
--- a/flamingolug/settings/_loading.py
+++ b/flamingolug/settings/_loading.py
@@ -31,7 +31,10 @@
     values: dict[str, Any] = {}
     for key, field in schema["properties"].items():
         values[key] = tree.get(key, field.get("default"))
-    for key in ("http_address", "peer_address"):
+    values["peer_bind_address"] = tree.get(
+        "peer_bind_address", tree["peer_address"]
+    )
+    for key in ("http_address", "peer_address", "peer_bind_address"):
         values[key] = _address(values[key], key, source)
     seeds: list[_model.Address] = []
     for index, text_value in enumerate(values["seeds"]):
--- a/flamingolug/settings/_model.py
+++ b/flamingolug/settings/_model.py
@@ -24,6 +24,8 @@
     http_address: Address
     #: Where other nodes reach this node.
     peer_address: Address
+    #: Where the node binds instead, when a relay stands in front of it.
+    peer_bind_address: Address
     #: Secret shared by all nodes and operators of a deployment.
     peer_key: str
     #: Base URL of the key-value service, empty for none.
--- a/flamingolug/settings/_schema.py
+++ b/flamingolug/settings/_schema.py
@@ -36,6 +36,7 @@
             "availability_zone": _NAME,
             "http_address": _ADDRESS,
             "peer_address": _ADDRESS,
+            "peer_bind_address": _ADDRESS,
             "peer_key": {"type": "string", "minLength": MIN_KEY_LENGTH},
             "store_url": {"type": "string", "default": ""},
             "seeds": {"type": "array", "items": _ADDRESS, "default": []},
--- /dev/null
+++ b/flamingolug/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests over several parts, and what they share."""
--- a/flamingolug_bench/deployment.py
+++ b/flamingolug_bench/deployment.py
@@ -55,6 +55,8 @@
     #: Changes of backend plans by backend name.
     backend_changes: Mapping[str, Mapping[str, Any]] = {}
     with_store: bool = True
+    #: A relay in front of each node's peer address.
+    with_relays: bool = False
     log_level: str = "warning"
 
 
@@ -66,6 +68,8 @@
     zone: str
     http: str
     peer: str
+    #: Where the node binds when a relay stands in front of it.
+    peer_bind: str
     backend: str
 
 
@@ -212,6 +216,8 @@
     def _start_all(self) -> None:
         if self.plan.with_store:
             self.start_store()
+        if self.plan.with_relays:
+            self._start_relays()
         for node in self.nodes:
             self.start_node(node)
         self._start_backends()
@@ -249,6 +255,41 @@
         )
         return found
 
+    def _start_relays(self) -> None:
+        pairs = [f"{each.peer}={each.peer_bind}" for each in self.nodes]
+        self.start(
+            "relays",
+            "flamingolug_standins.relay_program",
+            self.relay_control,
+            *pairs,
+        )
+
+    @property
+    def relay_control(self) -> str:
+        """Control address of the relays."""
+        return f"{HOST}:{self.plan.base_port + 4 * _PORTS_PER_KIND}"
+
+    def set_relay(self, node: NodePlan, fault: Mapping[str, Any]) -> None:
+        """Sets how the relay in front of a node behaves."""
+        message = {"listen": node.peer, "fault": fault}
+        request(self.relay_control, "/fault", msgspec.json.encode(message))
+
+    def set_store(self, fault: Mapping[str, Any]) -> None:
+        """Sets how the store behaves."""
+        address = f"{HOST}:{self.plan.base_port}"
+        request(address, "/fault", msgspec.json.encode(fault))
+
+    def store_counts(self) -> dict[str, int]:
+        """Returns the store's calls by operation."""
+        counts: dict[str, int] = msgspec.json.decode(
+            request(f"{HOST}:{self.plan.base_port}", "/stats")
+        )
+        return counts
+
+    def signal(self, name: str, number: int) -> None:
+        """Sends a signal to a process that this deployment started."""
+        self.processes[name].send_signal(number)
+
     def _wait_store(self) -> None:
         deadline = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < deadline:
@@ -306,6 +347,7 @@
             f"availability_zone: {node.zone}",
             f"http_address: {node.http}",
             f"peer_address: {node.peer}",
+            f"peer_bind_address: {node.peer_bind}",
             f"peer_key: {PEER_KEY}",
             f"store_url: {self.store_url}",
             f"log_level: {self.plan.log_level}",
@@ -361,6 +403,11 @@
                     zone=zone,
                     http=f"{HOST}:{port}",
                     peer=f"{HOST}:{port + _PORTS_PER_KIND}",
+                    peer_bind=(
+                        f"{HOST}:{port + 3 * _PORTS_PER_KIND}"
+                        if plan.with_relays
+                        else f"{HOST}:{port + _PORTS_PER_KIND}"
+                    ),
                     backend=f"{HOST}:{port + 2 * _PORTS_PER_KIND}",
                 )
             )
--- a/flamingolug_bench/flood.py
+++ b/flamingolug_bench/flood.py
@@ -22,6 +22,10 @@
 _MUSCAT = ("ruwi", "ghala", "seeb", "amerat")
 #: Slots and connections of the brief over those that are started here.
 SCALE = 10
+#: Service times here over those of the manifests. A machine of six cores runs
+#: what has a core each in the field, so rates are lower by the same factor and
+#: the cost of the nodes weighs about as much as it does there.
+TIME_SCALE = 2.0
 
 TIMELINE = measure.Timeline(
     measure.Span(1.0, CALM_S),
@@ -110,7 +114,7 @@
 
 def run_side(scene: Scene, control: str, seed: int) -> SideResult:
     """Runs a scene once, with control or as the baseline."""
-    found = manifest.load_file(str(_EXAMPLES / scene.place.manifest_file))
+    found = load_manifest(scene.place)
     port = _CONTROL_PORT if control == "full" else _BASELINE_PORT
     plan = deployment.DeploymentPlan(
         found,
@@ -129,16 +133,26 @@
         return _figures(scene, found, records, running)
 
 
+def load_manifest(place: Place) -> manifest.Manifest:
+    """Returns the manifest of a place."""
+    found = manifest.load_file(str(_EXAMPLES / place.manifest_file))
+    kinds = {
+        name: kind._replace(service_time_ms=kind.service_time_ms * TIME_SCALE)
+        for name, kind in found.kinds.items()
+    }
+    return found._replace(kinds=kinds)
+
+
 def _streams(scene: Scene, found: manifest.Manifest) -> list[load.Stream]:
     """Returns the callers of a scene."""
     streams: list[load.Stream] = []
     end_s = TIMELINE.after.end_s
     for name, rate in scene.place.calm.items():
         streams.append(
-            _stream(
+            make_stream(
                 found.kinds[name],
                 "ordinary",
-                [load.Phase(0.0, end_s, rate)],
+                [load.Phase(0.0, end_s, rate / TIME_SCALE)],
                 scene.retries,
             )
         )
@@ -147,22 +161,29 @@
         callers = 1 if scene.single_caller else 2
         for index in range(callers):
             streams.append(
-                _stream(
+                make_stream(
                     found.kinds[name],
                     f"flood-{index}",
-                    [load.Phase(flood.begin_s, flood.end_s, rate / callers)],
+                    [
+                        load.Phase(
+                            flood.begin_s,
+                            flood.end_s,
+                            rate / callers / TIME_SCALE,
+                        )
+                    ],
                     scene.retries,
                 )
             )
     return streams
 
 
-def _stream(
+def make_stream(
     kind: manifest.Kind,
     caller: str,
     phases: list[load.Phase],
     retries: int,
 ) -> load.Stream:
+    """Returns the stream of one kind from one group of callers."""
     route = kind.route or manifest.Route("GET", "/")
     return load.Stream(
         kind=kind.name,
--- a/flamingolug_bench/program.py
+++ b/flamingolug_bench/program.py
@@ -5,8 +5,10 @@
 import time
 from typing import Any
 
+from flamingolug_bench import faults
 from flamingolug_bench import flood
 from flamingolug_bench import overhead
+from flamingolug_bench import rolling
 
 _WIDTH = 22
 
@@ -37,7 +39,11 @@
 
 def _scenes() -> dict[str, Any]:
     """Returns a function for each scene by name."""
-    scenes: dict[str, Any] = {"overhead": overhead.run}
+    scenes: dict[str, Any] = {
+        "overhead": overhead.run,
+        "faults": faults.run,
+        "rolling": rolling.run,
+    }
     for name in flood.SCENES:
         scenes[name] = lambda seed, duration, name=name: _flood(name, seed)
     scenes["baseline"] = lambda seed, duration: _baseline(seed)
