Whole sessions as golden files; slots kept from work that waits below

Order in the wait does not help against slots that are held. Change 1: kinds whose calls hold their slots over three times as long as at best leave slots to the other kinds, twice what those need by Little's law and at most half. Cause 2: a second Content-Length hung the connection: the handler answered in a way that the library takes for accepted. Found by the first scenario. Change 2: the header reader raises, the library answers 400 and closes. Added: scenarios in YAML with golden transcripts, control scenes, demo, counts of peer traffic.

--- a/flamingolug/configuration/_holder.py
+++ b/flamingolug/configuration/_holder.py
@@ -45,6 +45,8 @@
     ladder: manifest.Ladder
     #: Stored form, passed on to peers.
     stored: bytes
+    #: Seconds since the Unix epoch when it came into force here.
+    since_wall: float
 
 
 class Needs(NamedTuple):
@@ -113,6 +115,7 @@
             found,
             manifest.build_ladder(found),
             stored,
+            self._needs.timers.wall(),
         )
         self._needs.counters.add(REVISIONS, "in-force")
         telemetry.event(
--- a/flamingolug/node/_control.py
+++ b/flamingolug/node/_control.py
@@ -37,6 +37,7 @@
     members: membership.Membership
     upstream: _upstream.Upstream
     counters: telemetry.Counters
+    traffic: peers.Traffic
     ask_outcome: Callable[[str], calls.Outcome | None]
     request_stop: Callable[[], None]
     contact: Callable[[str], None]
@@ -167,6 +168,10 @@
                 "keys": len(upstream.outcomes),
                 "owners_epoch": upstream.owners.voter.view.epoch,
                 "owners": list(upstream.owners.voter.view.members),
+                "in_force_at": found.since_wall if found else 0.0,
+                "messages_sent": self._needs.traffic.messages_sent,
+                "bytes_sent": self._needs.traffic.bytes_sent,
+                "bytes_received": self._needs.traffic.bytes_received,
                 "cpu_s": time.process_time(),
                 "rss_kb": _rss_kb(),
             },
--- a/flamingolug/node/_plugins.py
+++ b/flamingolug/node/_plugins.py
@@ -67,18 +67,25 @@
     return peers.derive_keys(_settings(built).peer_key)
 
 
-@kernel.plugin("endpoint", ("settings", "keys", "telemetry", "timers"))
+@kernel.plugin("traffic")
+def _build_traffic(built: kernel.Kernel) -> object:
+    del built
+    return peers.Traffic()
+
+
+@kernel.plugin("endpoint", ("settings", "keys", "traffic", "timers"))
 def _build_endpoint(built: kernel.Kernel) -> object:
     return peers.Endpoint(
         zmq.Context.instance(),
         str(_settings(built).peer_bind_address),
         built.get("keys", peers.PeerKeys),
         _counters(built),
-        _timers(built).now,
+        now=_timers(built).now,
+        traffic=built.get("traffic", peers.Traffic),
     )
 
 
-@kernel.plugin("links", ("keys", "telemetry", "timers", "identity"))
+@kernel.plugin("links", ("keys", "traffic", "timers", "identity"))
 def _build_links(built: kernel.Kernel) -> object:
     def members() -> membership.Membership:
         return built.get("membership", membership.Membership)
@@ -92,6 +99,7 @@
             now=_timers(built).now,
             next_id=identity.next_id,
             counters=_counters(built),
+            traffic=built.get("traffic", peers.Traffic),
             make_probe=lambda: members().make_ping(),
             on_pong=lambda pong: members().take_in(pong),
         )
@@ -312,6 +320,7 @@
             members=built.get("membership", membership.Membership),
             upstream=upstream,
             counters=_counters(built),
+            traffic=built.get("traffic", peers.Traffic),
             ask_outcome=upstream.outcomes.ask,
             request_stop=built.get("stop", gevent.event.Event).set,
             contact=first_contact.add_seed,
--- a/flamingolug/node/_program.py
+++ b/flamingolug/node/_program.py
@@ -72,11 +72,11 @@
         zone=cfg.availability_zone,
     )
     stop.wait()
-    _stop(built, cfg)
+    stop_gracefully(built, cfg)
     return EXIT_OK
 
 
-def _stop(built: kernel.Kernel, cfg: settings.Settings) -> None:
+def stop_gracefully(built: kernel.Kernel, cfg: settings.Settings) -> None:
     """Leaves the fleet without interrupting a request in progress."""
     front = built.get("front", _front.Front)
     inbound = built.get("inbound", _inbound.Inbound)
--- a/flamingolug/node/_upstream.py
+++ b/flamingolug/node/_upstream.py
@@ -26,7 +26,7 @@
 REFUSALS = "flamingolug.refusals"
 INVERSIONS = "flamingolug.admission.inversions"
 SERVED = "flamingolug.upstream.calls"
-CUTOFF_INTERVAL_S = 0.1
+CUTOFF_INTERVAL_S = policy.CUTOFF_WINDOW_S
 LIMIT_INTERVAL_S = 0.2
 FORGET_INTERVAL_S = 10.0
 #: Seconds an announcement holds when it names no other time.
@@ -80,6 +80,7 @@
         self.in_flight = _inflight.InFlight(needs.incarnation, needs.timers.now)
         self.outcomes = needs.outcomes
         self.owners = needs.owners
+        self.members = needs.members
         self.admission = _admission.Admission(
             policy.initial_limit(1, 1), 1, needs.timers.now
         )
@@ -340,7 +341,7 @@
         found = self._needs.config.in_force
         if found is None or call.kind not in found.manifest.kinds:
             return manifest.DEFAULT_SERVICE_TIME_MS / 1000.0
-        return found.manifest.kinds[call.kind].service_time_ms / 1000.0
+        return found.manifest.chain_time_ms(call.kind) / 1000.0
 
     def _update_cutoff(self) -> None:
         self.admission.update_cutoff()
--- a/flamingolug/node/tests/test_admission.py
+++ b/flamingolug/node/tests/test_admission.py
@@ -97,6 +97,28 @@
         task.join()
         self.assertEqual(self.admission.running, 0)
 
+    def test_slow_kinds_leave_slots_to_others(self) -> None:
+        """A slow service below must not fill every slot above it."""
+        self.admission = _admission.Admission(
+            policy.LimitState(4.0, 4), 640, self.timers.now
+        )
+        times = self.admission._times.setdefault(
+            "slow", _admission.KindTimes(0.05)
+        )
+        times.best_held_s = 0.05
+        times.held_s = 1.0
+        for _ in range(20):
+            self.admission._times.setdefault(
+                "other", _admission.KindTimes(0.05)
+            ).offered = 4
+            self.admission.update_cutoff()
+        for _ in range(4):
+            gevent.spawn(self.admission.enter, "slow", 5, _FAR, 0.05)
+        gevent.sleep(0)
+        self.assertEqual((self.admission.running, times.running), (2, 2))
+        self.admission.enter("other", 100, _FAR, 0.05)
+        self.assertEqual(self.admission.running, 3)
+
     def test_never_more_running_than_the_limit(self) -> None:
         for index in range(10):
             self._enter(str(index), index)
--- a/flamingolug/peers/__init__.py
+++ b/flamingolug/peers/__init__.py
@@ -30,6 +30,7 @@
 from flamingolug.peers._messages import SettleMessage
 from flamingolug.peers._messages import VotedMessage
 from flamingolug.peers._messages import VoteMessage
+from flamingolug.peers._traffic import Traffic
 
 __all__ = [
     "AnswerMessage",
@@ -54,6 +55,7 @@
     "RecordsMessage",
     "SettleMessage",
     "SettledMessage",
+    "Traffic",
     "VoteMessage",
     "VotedMessage",
     "decode",
--- a/flamingolug/peers/_endpoint.py
+++ b/flamingolug/peers/_endpoint.py
@@ -14,6 +14,7 @@
 from flamingolug.peers import _keys
 from flamingolug.peers import _messages
 from flamingolug.peers import _socket
+from flamingolug.peers import _traffic
 
 _LOGGER = logging.getLogger(__name__)
 #: Messages that may wait for one peer inside the library.
@@ -48,7 +49,9 @@
         address: str,
         keys: _keys.PeerKeys,
         counters: telemetry.Counters,
+        *,
         now: Callable[[], float],
+        traffic: _traffic.Traffic,
     ) -> None:
         """Binds `address`, an IP address and port."""
         counters.declare(
@@ -70,8 +73,8 @@
         sock.setsockopt(zmq.CURVE_PUBLICKEY, keys.public)
         monitor = sock.get_monitor_socket(_HANDSHAKE_FAILURES)
         sock.bind(f"tcp://{address}")
-        self._sock = _socket.GreenSocket(sock)
-        self._monitor = _socket.GreenSocket(monitor)
+        self._sock = _socket.GreenSocket(sock, traffic)
+        self._monitor = _socket.GreenSocket(monitor, _traffic.Traffic())
 
     def on(
         self,
--- a/flamingolug/peers/_link.py
+++ b/flamingolug/peers/_link.py
@@ -23,6 +23,7 @@
 from flamingolug.peers import _keys
 from flamingolug.peers import _messages
 from flamingolug.peers import _socket
+from flamingolug.peers import _traffic
 
 #: Seconds that a request waits for the first connection.
 CONNECT_WAIT_S = 0.5
@@ -73,6 +74,7 @@
     now: Callable[[], float]
     next_id: Callable[[], int]
     counters: telemetry.Counters
+    traffic: _traffic.Traffic
     #: Makes the message that probes a quiet link.
     make_probe: Callable[[], _messages.PingMessage]
     #: Receives every heartbeat answer.
@@ -176,8 +178,8 @@
         monitor = sock.get_monitor_socket(_MONITORED)
         sock.connect(f"tcp://{self.address}")
         self._ready.clear()
-        self._sock = _socket.GreenSocket(sock)
-        self._monitor = _socket.GreenSocket(monitor)
+        self._sock = _socket.GreenSocket(sock, options.traffic)
+        self._monitor = _socket.GreenSocket(monitor, _traffic.Traffic())
         gevent.spawn(self._receive, self._sock)
         gevent.spawn(self._follow_connection, self._monitor)
 
--- a/flamingolug/peers/_socket.py
+++ b/flamingolug/peers/_socket.py
@@ -9,15 +9,20 @@
 from gevent import event
 from gevent import hub
 
+from flamingolug.peers import _traffic
+
 _READ = 1
 
 
 class GreenSocket:
     """One socket, read by one greenlet."""
 
-    def __init__(self, sock: "zmq.Socket[bytes]") -> None:
+    def __init__(
+        self, sock: "zmq.Socket[bytes]", traffic: _traffic.Traffic
+    ) -> None:
         """Wraps a socket that is bound or connected by the caller."""
         self._sock = sock
+        self._traffic = traffic
         self._readable = event.Event()
         self._closed = False
         self._watcher = hub.get_hub().loop.io(
@@ -33,6 +38,7 @@
             self._sock.send_multipart(frames, zmq.NOBLOCK)
         except zmq.ZMQError:
             return False
+        self._traffic.sent(frames)
         # The descriptor signals edges only: sending may swallow one.
         if self._has_input():
             self._readable.set()
@@ -42,7 +48,9 @@
         """Returns the next message, or None once the socket is closed."""
         while not self._closed:
             try:
-                return self._sock.recv_multipart(zmq.NOBLOCK)
+                frames = self._sock.recv_multipart(zmq.NOBLOCK)
+                self._traffic.received(frames)
+                return frames
             except zmq.Again:
                 self._readable.clear()
             except zmq.ZMQError:
--- a/flamingolug/policy/__init__.py
+++ b/flamingolug/policy/__init__.py
@@ -6,6 +6,7 @@
 from flamingolug.policy._cutoff import CutoffState
 from flamingolug.policy._cutoff import next_cutoff
 from flamingolug.policy._cutoff import Window
+from flamingolug.policy._cutoff import WINDOW_S as CUTOFF_WINDOW_S
 from flamingolug.policy._fairness import FairShares
 from flamingolug.policy._fairness import spread_of
 from flamingolug.policy._limit import initial_limit
@@ -22,6 +23,7 @@
 from flamingolug.policy._wait import wait_capacity
 
 __all__ = [
+    "CUTOFF_WINDOW_S",
     "Candidate",
     "Choice",
     "CutoffState",
--- /dev/null
+++ b/flamingolug/tests/test_scenarios.py
@@ -0,0 +1,27 @@
+"""Runs every scenario and compares its transcript with the golden file.
+
+`UPDATE_GOLDEN=1` writes the golden files anew; read the difference.
+"""
+
+import os
+import pathlib
+import unittest
+
+from flamingolug.tests import scenario
+
+_SCENARIOS = pathlib.Path(__file__).parent / "scenarios"
+
+
+class ScenariosTest(unittest.TestCase):
+    def test_transcripts(self) -> None:
+        for path in sorted(_SCENARIOS.glob("*.yaml")):
+            with self.subTest(path.name):
+                session = scenario.Session(path)
+                try:
+                    transcript = "\n".join(session.run()) + "\n"
+                finally:
+                    session.close()
+                golden = path.with_suffix(".golden")
+                if os.environ.get("UPDATE_GOLDEN"):
+                    golden.write_text(transcript, encoding="utf-8")
+                self.assertEqual(transcript, golden.read_text(encoding="utf-8"))
--- a/flamingolug/web/_server.py
+++ b/flamingolug/web/_server.py
@@ -25,11 +25,31 @@
 KEEP_ALIVE_GRACE_S = 1.0
 
 
+def _refuse_ambiguous(headers: Any) -> None:
+    """Refuses a body length that can be read in two ways.
+
+    Raises:
+        ValueError: the library answers 400 and closes the connection.
+    """
+    lengths = headers.get_all("Content-Length") or []
+    codings = headers.get_all("Transfer-Encoding") or []
+    if len(lengths) + len(codings) > 1 or any("," in each for each in lengths):
+        raise ValueError("ambiguous body length")
+    if any(each.strip().lower() != "chunked" for each in codings):
+        raise ValueError("unknown transfer coding")
+
+
 class _Handler(pywsgi.WSGIHandler):
     """Handler that shares its socket and knows whether it is idle."""
 
     server: "_WsgiServer"
 
+    def MessageClass(self, *arguments: Any) -> Any:  # noqa: N802
+        """Reads the headers; the library's name for it."""
+        headers = super().MessageClass(*arguments)
+        _refuse_ambiguous(headers)
+        return headers
+
     def handle(self) -> None:
         """Serves one connection until either side ends it."""
         self.server.handlers.add(self)
@@ -46,18 +66,6 @@
         self.busy = bool(line)
         return line
 
-    def read_request(self, raw_requestline: str) -> Any:
-        """Reads the head and refuses one that may be read in two ways."""
-        accepted: Any = super().read_request(raw_requestline)
-        if accepted is not True:
-            return accepted
-        lengths = self.headers.get_all("Content-Length") or []
-        ambiguous = len(lengths) > 1 or any("," in each for each in lengths)
-        if ambiguous or (lengths and self.headers.get("Transfer-Encoding")):
-            self.log_error("Ambiguous body length")
-            return ("400", b"Ambiguous body length")
-        return accepted
-
     def get_environ(self) -> Environ:
         """Returns the WSGI environment with the socket added."""
         environ: Environ = super().get_environ()
--- a/flamingolug_bench/program.py
+++ b/flamingolug_bench/program.py
@@ -5,6 +5,8 @@
 import time
 from typing import Any
 
+from flamingolug_bench import control
+from flamingolug_bench import demo
 from flamingolug_bench import faults
 from flamingolug_bench import flood
 from flamingolug_bench import overhead
@@ -41,7 +43,11 @@
     """Returns a function for each scene by name."""
     scenes: dict[str, Any] = {
         "overhead": overhead.run,
+        "config-spread": control.run_spread,
+        "control-cost": control.run_cost,
+        "demo": demo.run,
         "faults": faults.run,
+        "join": control.run_join,
         "rolling": rolling.run,
     }
     for name in flood.SCENES:
--- a/flamingolug_standins/store_program.py
+++ b/flamingolug_standins/store_program.py
@@ -19,7 +19,7 @@
 MAX_VALUE_BYTES = 1_048_576
 
 
-class _Fault(msgspec.Struct, forbid_unknown_fields=True):
+class Fault(msgspec.Struct, forbid_unknown_fields=True):
     """How the service misbehaves."""
 
     #: Answers 503 to everything.
@@ -35,7 +35,7 @@
 
     def __init__(self) -> None:
         """Starts empty and healthy."""
-        self.fault = _Fault()
+        self.fault = Fault()
         self.counts: dict[str, int] = {}
         self._values: dict[str, tuple[bytes, int]] = {}
         self._changed = event.Event()
@@ -47,7 +47,7 @@
         path: str = environ["PATH_INFO"]
         if path == "/fault":
             body = web.read_body(environ, MAX_VALUE_BYTES)
-            self.fault = msgspec.json.decode(body, type=_Fault)
+            self.fault = msgspec.json.decode(body, type=Fault)
             return web.json_response(start_response, _OK, {})
         if path == "/stats":
             return web.json_response(start_response, _OK, self.counts)
