--- a/flamingolug/node/_control.py
+++ b/flamingolug/node/_control.py
@@ -38,7 +38,7 @@
     upstream: _upstream.Upstream
     counters: telemetry.Counters
     traffic: peers.Traffic
-    ask_outcome: Callable[[str], calls.Outcome | None]
+    ask_outcome: Callable[[str, str], calls.Outcome]
     request_stop: Callable[[], None]
     contact: Callable[[str], None]
 
@@ -212,12 +212,12 @@
             raise errors.ConfigurationError(
                 f"query misses {', '.join(sorted(missing))}", step="outcome"
             )
-        key = _outcomes.scoped_key(query["caller"], query["kind"], query["key"])
-        outcome = self._needs.ask_outcome(key)
-        if outcome is None:
-            return web.json_response(
-                start_response, _NOT_FOUND, {"outcome": "no-record"}
-            )
+        found = self._needs.config.in_force
+        kind = found.manifest.kinds.get(query["kind"]) if found else None
+        if kind is None:
+            raise errors.ConfigurationError("unknown kind", step="outcome")
+        key = _outcomes.scoped_key(query["caller"], kind.name, query["key"])
+        outcome = self._needs.ask_outcome(kind.service, key)
         return web.json_response(
             start_response,
             _OK,
--- a/flamingolug/node/_inbound.py
+++ b/flamingolug/node/_inbound.py
@@ -73,6 +73,7 @@
         endpoint.on(peers.MessageType.CANCEL, self._on_cancel)
         endpoint.on(peers.MessageType.SETTLE, self._on_settle)
         endpoint.on(peers.MessageType.PING, self._on_ping)
+        endpoint.on(peers.MessageType.OUTCOME, self._on_outcome)
 
     def start(self) -> None:
         """Begins to forget old answers."""
@@ -163,6 +164,14 @@
             {"id": message["id"], "state": state},
         )
 
+    def _on_outcome(self, inbound: peers.Inbound) -> None:
+        message: peers.OutcomeMessage = inbound.message
+        outcome = self._needs.upstream.ask_outcome(message["key"])
+        answer = self._needs.wire.answer(
+            message["id"], outcome, self._needs.loads.own_report()
+        )
+        self._send(inbound.route, answer, outcome.body)
+
     def _on_ping(self, inbound: peers.Inbound) -> None:
         pong = self._needs.members.make_pong(inbound.message)
         self._needs.endpoint.reply(inbound.route, peers.MessageType.PONG, pong)
--- a/flamingolug/node/_plugins.py
+++ b/flamingolug/node/_plugins.py
@@ -321,7 +321,7 @@
             upstream=upstream,
             counters=_counters(built),
             traffic=built.get("traffic", peers.Traffic),
-            ask_outcome=upstream.outcomes.ask,
+            ask_outcome=built.get("routing", _router.Router).ask_outcome,
             request_stop=built.get("stop", gevent.event.Event).set,
             contact=first_contact.add_seed,
         )
--- a/flamingolug/node/_router.py
+++ b/flamingolug/node/_router.py
@@ -24,6 +24,7 @@
 MAX_TRIES = 3
 #: Seconds that an answer may take beyond the deadline to travel.
 ANSWER_GRACE_S = 0.05
+ASK_TIMEOUT_S = 1.0
 #: Seconds before the owner of a key is asked again.
 OWNER_RETRY_S = 0.1
 #: Limit assumed of an upstream that has not reported yet.
@@ -173,6 +174,45 @@
         refusal = choice.refusal or telemetry.Refusal.NO_UPSTREAM
         return None, calls.not_run(refusal, "route", call.service)
 
+    def ask_outcome(self, service: str, key: str) -> calls.Outcome:
+        """Returns what the owner of a key knows of it.
+
+        `no-record` as the reason of an unknown outcome means that the owner
+        never saw the key, or has forgotten it.
+        """
+        table = self._needs.members.table
+        names = [
+            each.name for each in table.of_service(service) if each.is_present()
+        ]
+        name = policy.owner_of(key, names)
+        outcome = calls.unknown("no-owner", "ask", service, 0)
+        for _ in range(MAX_TRIES):
+            member = table.get(name) if name else None
+            if member is None:
+                break
+            outcome = self._ask_member(member, key)
+            if outcome.reason != _upstream.NO_RECORD or (
+                outcome.peer in ("", member.name)
+            ):
+                break
+            name = outcome.peer
+        return outcome
+
+    def _ask_member(self, member: membership.Member, key: str) -> calls.Outcome:
+        if member.name == self._needs.cfg.name:
+            return self._needs.upstream.ask_outcome(key)
+        message: peers.OutcomeMessage = {
+            "id": self._needs.wire.next_id(),
+            "key": key,
+        }
+        try:
+            answer = self._needs.links.to(member.peer).request(
+                peers.MessageType.OUTCOME, message, b"", ASK_TIMEOUT_S
+            )
+        except errors.FlamingolugError as exc:
+            return calls.unknown(exc.message, "ask", member.name, 0)
+        return self._needs.wire.outcome(answer.message, answer.body)
+
     def _route_to_owner(
         self, call: calls.Call, found: configuration.InForce
     ) -> calls.Outcome:
--- a/flamingolug/node/_upstream.py
+++ b/flamingolug/node/_upstream.py
@@ -10,6 +10,7 @@
 from flamingolug import errors
 from flamingolug import manifest
 from flamingolug import membership
+from flamingolug import ownership
 from flamingolug import peers
 from flamingolug import policy
 from flamingolug import settings
@@ -33,6 +34,8 @@
 ANNOUNCEMENT_S = 10.0
 #: Seconds that others may take to own the keys of a node that leaves.
 OWNERS_LEAVE_S = 8.0
+#: Reason of an outcome that nothing is known of.
+NO_RECORD = "no-record"
 _POLL_S = 0.02
 #: Members told at once that the backend server comes or goes.
 PUSH_COUNT = 8
@@ -151,6 +154,14 @@
             gevent.sleep(_POLL_S)
         return self.admission.running
 
+    def ask_outcome(self, key: str) -> calls.Outcome:
+        """Returns what this node knows of a key, and else who owns it."""
+        found = self.outcomes.ask(key)
+        if found is not None:
+            return found
+        owner = ownership.owner_in(self.owners.voter.view, key) or ""
+        return calls.unknown(NO_RECORD, "ask", owner, 0)
+
     def is_busy(self) -> bool:
         """Returns whether calls run or wait."""
         return bool(self.admission.running or self.admission.waiting)
--- a/flamingolug/node/_wire.py
+++ b/flamingolug/node/_wire.py
@@ -20,7 +20,7 @@
     ) -> None:
         """Creates a translator for one node."""
         self._incarnation = incarnation
-        self._next_id = next_id
+        self.next_id = next_id
         self._now = now
         self._config = config
 
@@ -28,7 +28,7 @@
         """Returns the message for a call to incarnation `to`."""
         found = self._config.in_force
         return {
-            "id": self._next_id(),
+            "id": self.next_id(),
             "org": self._incarnation,
             "to": to,
             "root": call.root_id,
--- a/flamingolug/tests/scenario.py
+++ b/flamingolug/tests/scenario.py
@@ -200,6 +200,8 @@
             max_body_bytes=_MAX_BODY,
         )
         shown = [reply.header(name) for name in _SHOWN_HEADERS]
+        if spec["path"].startswith("/-/"):
+            shown.append(reply.body.decode())
         text = " ".join(each for each in shown if each)
         return f"{spec['method']} {spec['path']} -> {reply.status} {text}"
 
--- a/flamingolug_bench/flood.py
+++ b/flamingolug_bench/flood.py
@@ -89,6 +89,9 @@
     #: Called at the flood's begin and end.
     on_begin: Callable[[deployment.Deployment], None] = lambda running: None
     on_end: Callable[[deployment.Deployment], None] = lambda running: None
+    #: Factor on the service times of a service during the flood, which the
+    #: all-knowing scheduler has to live with too.
+    slowed: Mapping[str, float] = {}
     #: Services that share no bottleneck with the flood.
     untouched: tuple[str, ...] = ()
     #: One caller sends all the flood.
@@ -232,7 +235,7 @@
     bound = max(kind.attempts for kind in found.kinds.values())
     return SideResult(
         goodput_of_bound=measure.goodput_of_bound(
-            records, found, slots, TIMELINE.flood
+            records, _slowed(found, scene.slowed), slots, TIMELINE.flood
         ),
         recovery_s=measure.recovery_s(records, found, TIMELINE),
         top_rank_share=shares.get(top, 1.0),
@@ -261,6 +264,20 @@
     )
 
 
+def _slowed(
+    found: manifest.Manifest, factors: Mapping[str, float]
+) -> manifest.Manifest:
+    """Returns the manifest with the service times of the flood."""
+    kinds = {
+        name: kind._replace(
+            service_time_ms=kind.service_time_ms
+            * factors.get(kind.service, 1.0)
+        )
+        for name, kind in found.kinds.items()
+    }
+    return found._replace(kinds=kinds)
+
+
 def _set_slow(
     service: str, factor: float
 ) -> Callable[[deployment.Deployment], None]:
@@ -323,6 +340,7 @@
         {},
         on_begin=_set_slow("archive", 12.0),
         on_end=_set_slow("archive", 1.0),
+        slowed={"archive": 12.0},
         untouched=("library",),
     ),
     "surge-retries": Scene(
@@ -368,6 +386,7 @@
         retries=6,
         on_begin=_set_slow("archive", 4.0),
         on_end=_set_slow("archive", 1.0),
+        slowed={"archive": 4.0},
         untouched=("library",),
     ),
 }
