Planned stops interrupt nothing: keys change hands within a vote

A node that left did not tell that it had adopted the view without it, so the others held their votes for 3.3 s; votes were asked for twice a second only; a node that started again was taken for the run before it, and its keys were in doubt for ten minutes; a caller's node gave up after three answers that named another owner; a cold backend server with few slots started with one and a wait of two. Change: adoption is told to all members at once; a node without a right asks every 0.1 s; views name runs of nodes, votes belong to nodes; the owner is looked for until the deadline; at least two calls at a cold start, four waiting. Ruled out: longer waits at the owner, which did not help while two nodes named each other.

--- a/flamingolug/membership/_table.py
+++ b/flamingolug/membership/_table.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from flamingolug import ownership
 from flamingolug import peers
 
 #: Seconds that a dead or departed member is remembered.
@@ -44,6 +45,10 @@
     #: Monotonic seconds of this process when the record changed here.
     changed_at: float = 0.0
 
+    def run_id(self) -> str:
+        """Returns how views of key owners name this run of the node."""
+        return ownership.make_run_id(self.name, self.incarnation)
+
     def is_present(self) -> bool:
         """Returns whether it is not known to be gone."""
         return self.state in (MemberState.ALIVE, MemberState.SUSPECT)
@@ -122,6 +127,13 @@
         """Returns a member by name."""
         return self._members.get(name)
 
+    def by_run_id(self, run_id: str) -> Member | None:
+        """Returns the member that is this very run of its node."""
+        member = self._members.get(ownership.name_of(run_id))
+        if member is None or member.run_id() != run_id:
+            return None
+        return member
+
     def all(self) -> Iterable[Member]:
         """Returns every member, in no order."""
         return self._members.values()
--- a/flamingolug/node/_inbound.py
+++ b/flamingolug/node/_inbound.py
@@ -126,7 +126,8 @@
     ) -> calls.Outcome:
         own = self._needs.members.table.own.name
         if message["to"] != self._needs.incarnation:
-            return calls.not_run(telemetry.Refusal.NO_RIGHT, "inbound", own)
+            run_id = self._needs.members.table.own.run_id()
+            return calls.not_run(telemetry.Refusal.NO_RIGHT, "inbound", run_id)
         call = self._needs.wire.call(message, body)
         if call is None:
             return calls.not_run(telemetry.Refusal.UNKNOWN_KIND, "inbound", own)
--- a/flamingolug/node/_owners.py
+++ b/flamingolug/node/_owners.py
@@ -24,6 +24,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 VOTE_INTERVAL_S = 0.5
+#: The same while a node waits for the right of a view.
+HURRY_INTERVAL_S = 0.1
 VOTE_TIMEOUT_S = 1.0
 #: Seconds between two tries to find a view.
 FIND_INTERVAL_S = 1.0
@@ -94,6 +96,7 @@
     def start(self) -> None:
         """Begins to ask for votes."""
         self._needs.timers.every(VOTE_INTERVAL_S, self._tick)
+        self._needs.timers.every(HURRY_INTERVAL_S, self._hurry)
 
     def serve(self, service: str) -> None:
         """Sets the service beside this node."""
@@ -109,7 +112,7 @@
         until = min(now() + RIGHT_WAIT_S, call.deadline)
         while not self._may_run(call.key):
             owner = ownership.owner_in(self.voter.view, call.key)
-            if owner != self._own_name() or now() >= until:
+            if owner != self._own_id() or now() >= until:
                 return calls.not_run(
                     telemetry.Refusal.NO_RIGHT, "ownership", owner or ""
                 )
@@ -186,7 +189,7 @@
         deadline = self._needs.timers.now() + timeout_s
         while self._needs.timers.now() < deadline:
             members = self.voter.view.members
-            if self._own_name() not in members or len(members) == 1:
+            if self._own_id() not in members or len(members) == 1:
                 # The new owners fetch the records now.
                 gevent.sleep(VOTE_INTERVAL_S)
                 return
@@ -195,10 +198,13 @@
     def _own_name(self) -> str:
         return self._needs.members.table.own.name
 
+    def _own_id(self) -> str:
+        return self._needs.members.table.own.run_id()
+
     def _may_run(self, key: str) -> bool:
         view = self.voter.view
         return ownership.may_run(
-            self._own_name(),
+            self._own_id(),
             key,
             self._needs.timers.now(),
             (view, ownership.right_until(view, self._asked_at)),
@@ -212,26 +218,35 @@
         if view.epoch == 0:
             self._find_view()
             return
-        own = self._own_name()
-        if own not in view.members and self.leaving:
+        if self._own_id() not in view.members and self.leaving:
             return
-        self._vote_for_itself()
-        for name in view.members:
-            if name != own:
-                gevent.spawn(self._ask_vote, name, view)
-        if own not in view.members:
-            # Not a member yet: learn of the view that lets this node in.
-            gevent.spawn(self._ask_vote, view.members[0], view)
+        self._ask_votes(view)
         until = ownership.right_until(view, self._asked_at)
         self._had_majority |= until > self._needs.timers.now()
         if self._is_keeper(view) and self._had_majority:
             self._propose(view)
 
+    def _hurry(self) -> None:
+        """Asks again soon while this node waits for the right of its view."""
+        view = self.voter.view
+        if self._own_id() not in view.members:
+            return
+        until = ownership.right_until(view, self._asked_at)
+        if until > self._needs.timers.now():
+            return
+        self._ask_votes(view)
+
+    def _ask_votes(self, view: ownership.View) -> None:
+        self._vote_for_itself()
+        for name in map(ownership.name_of, view.members):
+            if name != self._own_name():
+                gevent.spawn(self._ask_vote, name, view)
+
     def _vote_for_itself(self) -> None:
         now = self._needs.timers.now()
         view = self.voter.view
         self.voter, granted = ownership.vote(self.voter, view.epoch, now)
-        if granted and self._own_name() in view.members:
+        if granted:
             self._asked_at[self._own_name()] = now
 
     def _ask_vote(self, name: str, view: ownership.View) -> None:
@@ -286,51 +301,48 @@
             members=",".join(view.members),
         )
         self._take_over(old, view)
+        # Everyone learns at once that this node acts under the old view no
+        # more; that ends the holds of the others.
+        names = set(map(ownership.name_of, (*old.members, *view.members)))
+        for name in names - {self._own_name()}:
+            gevent.spawn(self._ask_vote, name, view)
 
     def _take_over(self, old: ownership.View, view: ownership.View) -> None:
         """Fetches the records of keys that this node owns newly."""
-        own = self._own_name()
+        own = self._own_id()
         if own not in view.members or view.epoch == 1:
             return
-        if old.epoch == 0:
-            # It was a member before it started: it has forgotten its keys.
-            self._add_gap(view, own)
-            return
-        joined = own not in old.members
-        if old.epoch != view.epoch - 1:
-            sources = set(old.members) | set(view.members)
-        elif joined:
-            sources = set(old.members)
-        else:
+        sources = {*old.members, *view.members} - {own}
+        if old.epoch == view.epoch - 1 and own in old.members:
             sources = set(old.members) - set(view.members)
-        for name in sources - {own}:
-            self._handovers[name] = old
+        for run_id in sources:
+            self._handovers[run_id] = old
             self._settled.clear()
-            gevent.spawn(self._fetch_records, name, old, view)
+            gevent.spawn(self._fetch_records, run_id, old, view)
 
     def _fetch_records(
-        self, name: str, old: ownership.View, view: ownership.View
+        self, run_id: str, old: ownership.View, view: ownership.View
     ) -> None:
         """Takes over the records of one earlier owner."""
         complete = False
         for _ in range(HANDOVER_TRIES):
-            complete = self._try_handover(name, view)
+            complete = self._try_handover(run_id, view)
             if complete:
                 break
             gevent.sleep(VOTE_INTERVAL_S)
         if not complete:
-            self._add_gap(old, name)
-        self._handovers.pop(name, None)
+            self._add_gap(old if old.epoch else view, run_id)
+        self._handovers.pop(run_id, None)
         if not self._handovers:
             self._settled.set()
 
-    def _try_handover(self, name: str, view: ownership.View) -> bool:
-        member = self._needs.members.table.get(name)
+    def _try_handover(self, run_id: str, view: ownership.View) -> bool:
+        member = self._needs.members.table.by_run_id(run_id)
         if member is None or member.state is membership.MemberState.DEAD:
             return False
         message: peers.HandoverMessage = {
             "id": self._needs.next_id(),
-            "name": self._own_name(),
+            "name": self._own_id(),
             "svc": self._service,
             "epoch": view.epoch,
             "members": list(view.members),
@@ -380,7 +392,7 @@
         if source is None:
             return
         key = ownership.view_key(self._service)
-        first = ownership.View(1, (self._own_name(),))
+        first = ownership.View(1, (self._own_id(),))
         try:
             entry = source.read(key)
             found = ownership.decode_view(entry.value)
@@ -395,29 +407,33 @@
 
     def _is_keeper(self, view: ownership.View) -> bool:
         """Returns whether this node changes the view when it must."""
-        present = set(self._present())
-        able = [each for each in view.members if each in present]
+        present = set(map(ownership.name_of, self._present()))
+        names = sorted(map(ownership.name_of, view.members))
+        able = [each for each in names if each in present]
         return bool(able) and able[0] == self._own_name()
 
     def _present(self) -> list[str]:
+        """Returns the runs of nodes that are alive beside the service."""
         return [
-            each.name
+            each.run_id()
             for each in self._needs.members.table.of_service(self._service)
             if each.state is membership.MemberState.ALIVE
         ]
 
     def _gone(self, view: ownership.View) -> list[str]:
-        """Returns members that left, died or serve something else now."""
+        """Returns members that ended, left or serve something else now."""
         age_s = self._needs.timers.now() - self._started_at
         gone: list[str] = []
-        for name in view.members:
-            member = self._needs.members.table.get(name)
+        for run_id in view.members:
+            member = self._needs.members.table.get(ownership.name_of(run_id))
             if member is None:
                 if age_s > UNKNOWN_IS_GONE_S:
-                    gone.append(name)
+                    gone.append(run_id)
                 continue
-            if not member.is_present() or (member.service != self._service):
-                gone.append(name)
+            ended = member.incarnation > ownership.incarnation_of(run_id)
+            elsewhere = member.service != self._service
+            if ended or elsewhere or not member.is_present():
+                gone.append(run_id)
         return gone
 
     def _propose(self, view: ownership.View) -> None:
--- a/flamingolug/node/_router.py
+++ b/flamingolug/node/_router.py
@@ -24,6 +24,8 @@
 MAX_TRIES = 3
 #: Seconds that an answer may take beyond the deadline to travel.
 ANSWER_GRACE_S = 0.05
+#: Times that an owner of a key is looked for.
+MAX_OWNER_TRIES = 20
 ASK_TIMEOUT_S = 1.0
 #: Seconds before the owner of a key is asked again.
 OWNER_RETRY_S = 0.1
@@ -181,18 +183,15 @@
         never saw the key, or has forgotten it.
         """
         table = self._needs.members.table
-        names = [
-            each.name for each in table.of_service(service) if each.is_present()
-        ]
-        name = policy.owner_of(key, names)
+        name = self._guess_owner(service, key)
         outcome = calls.unknown("no-owner", "ask", service, 0)
         for _ in range(MAX_TRIES):
-            member = table.get(name) if name else None
+            member = table.by_run_id(name)
             if member is None:
                 break
             outcome = self._ask_member(member, key)
             if outcome.reason != _upstream.NO_RECORD or (
-                outcome.peer in ("", member.name)
+                outcome.peer in ("", member.run_id())
             ):
                 break
             name = outcome.peer
@@ -221,35 +220,44 @@
         Only the owner can tell whether an earlier try has run, so nothing is
         refused on the way to it.
         """
+        needed = found.manifest.attempts_needed(call.kind)
+        if call.allowance < needed:
+            return calls.not_run(telemetry.Refusal.ALLOWANCE, "route")
         table = self._needs.members.table
-        names = [
-            each.name
-            for each in table.of_service(call.service)
-            if each.is_present()
-        ]
-        name = policy.owner_of(call.key, names)
         outcome = calls.not_run(
             telemetry.Refusal.NO_UPSTREAM, "route", call.service
         )
-        needed = found.manifest.attempts_needed(call.kind)
-        if call.allowance < needed:
-            return calls.not_run(telemetry.Refusal.ALLOWANCE, "route")
-        for _ in range(MAX_TRIES):
-            member = table.get(name) if name else None
-            if member is None:
-                return _doubted(outcome)
-            outcome = self._send(member, call)
-            if not _is_misrouted(outcome):
-                return _doubted(outcome)
-            # Its own view names another owner; the right may be on its way.
-            if outcome.peer == name or not outcome.peer:
+        asked: set[str] = set()
+        owner = self._guess_owner(call.service, call.key)
+        for _ in range(MAX_OWNER_TRIES):
+            member = table.by_run_id(owner)
+            if member is not None:
+                outcome = self._send(member, call)
+                if not _is_misrouted(outcome):
+                    break
+                self._needs.counters.add(
+                    RETRIES, str(telemetry.Retry.OWNER_MOVED)
+                )
+            asked.add(owner)
+            owner = outcome.peer
+            if owner in asked or table.by_run_id(owner) is None:
+                # While a change of owners spreads, each names the other.
                 gevent.sleep(OWNER_RETRY_S)
-            name = outcome.peer or name
+                asked.clear()
+                owner = self._guess_owner(call.service, call.key)
             if self._needs.timers.now() + OWNER_RETRY_S > call.deadline:
                 break
-            self._needs.counters.add(RETRIES, str(telemetry.Retry.NOT_RUN))
         return _doubted(outcome)
 
+    def _guess_owner(self, service: str, key: str) -> str:
+        """Returns the owner of a key by this node's own membership."""
+        runs = [
+            each.run_id()
+            for each in self._needs.members.table.of_service(service)
+            if each.is_present()
+        ]
+        return policy.owner_of(key, runs) or ""
+
     def _candidate(
         self, member: membership.Member, found: configuration.InForce
     ) -> policy.Candidate:
--- a/flamingolug/node/tests/test_admission.py
+++ b/flamingolug/node/tests/test_admission.py
@@ -15,7 +15,7 @@
 
 class AdmissionTest(unittest.TestCase):
     def setUp(self) -> None:
-        """Builds an admission with one slot and room for two to wait."""
+        """Builds an admission with one slot and room for four to wait."""
         self.timers = timing.ManualTimers()
         self.admission = _admission.Admission(
             policy.LimitState(1.0, 1),
@@ -54,6 +54,8 @@
 
     def test_the_least_important_is_shed_be_it_waiting_or_new(self) -> None:
         self._enter("running", 0)
+        self._enter("x", 20)
+        self._enter("y", 30)
         self._enter("a", 100)
         self._enter("b", 200)
         self._enter("urgent", 10)
--- a/flamingolug/ownership/__init__.py
+++ b/flamingolug/ownership/__init__.py
@@ -11,6 +11,9 @@
 from flamingolug.ownership._rights import Voter
 from flamingolug.ownership._view import decode_view
 from flamingolug.ownership._view import encode_view
+from flamingolug.ownership._view import incarnation_of
+from flamingolug.ownership._view import make_run_id
+from flamingolug.ownership._view import name_of
 from flamingolug.ownership._view import next_view
 from flamingolug.ownership._view import owner_in
 from flamingolug.ownership._view import View
@@ -24,7 +27,10 @@
     "adopt",
     "decode_view",
     "encode_view",
+    "incarnation_of",
+    "make_run_id",
     "may_run",
+    "name_of",
     "new_voter",
     "next_view",
     "note_adopted",
--- a/flamingolug/ownership/_rights.py
+++ b/flamingolug/ownership/_rights.py
@@ -8,8 +8,10 @@
 one. Majorities of neighbouring views meet in some voter, so when a view has
 the votes of a majority, every right under the view before it has run out.
 
-A view may follow only one that once had a majority. A node that starts has
-forgotten its votes, so it holds them back for `HOLD_S` too.
+A view may follow only one that once had a majority. Keys belong to runs of
+nodes, votes to nodes: a node that starts again owns nothing of what its last
+run owned, but votes in its place. It has forgotten its votes, so it holds them
+back for `HOLD_S` too.
 """
 
 from collections.abc import Mapping
@@ -84,7 +86,11 @@
         Monotonic seconds; minus infinity without a majority.
     """
     times = sorted(
-        (asked_at[name] for name in view.members if name in asked_at),
+        (
+            asked_at[name]
+            for name in map(_view.name_of, view.members)
+            if name in asked_at
+        ),
         reverse=True,
     )
     majority = len(view.members) // 2 + 1
@@ -94,7 +100,7 @@
 
 
 def may_run(
-    own_name: str,
+    own_id: str,
     key: str,
     now: float,
     current: tuple[_view.View, float],
@@ -106,21 +112,21 @@
     that a change of members does not interrupt the keys that stay.
 
     Args:
-        own_name: the node.
+        own_id: the run of the node.
         key: the idempotency key.
         now: monotonic seconds of this node.
         current: the adopted view and when its right runs out.
         previous: the same of the view before it.
     """
     view, until = current
-    if _view.owner_in(view, key) != own_name:
+    if _view.owner_in(view, key) != own_id:
         return False
     if now < until:
         return True
     old_view, old_until = previous
     return (
         old_view.epoch == view.epoch - 1
-        and _view.owner_in(old_view, key) == own_name
+        and _view.owner_in(old_view, key) == own_id
         and now < old_until
     )
 
@@ -134,7 +140,7 @@
     previous = voter.previous
     if previous.epoch != voter.view.epoch - 1 or previous.epoch == 0:
         return voter
-    for name in previous.members:
+    for name in map(_view.name_of, previous.members):
         if voter.adopted.get(name, 0) < voter.view.epoch:
             return voter
     return voter._replace(hold_until=min(voter.hold_until, now))
--- a/flamingolug/ownership/_view.py
+++ b/flamingolug/ownership/_view.py
@@ -18,11 +18,12 @@
 
     #: Counts up by one with each change; 0 is no view.
     epoch: int
-    #: Names of the nodes, sorted.
+    #: Runs of nodes, each as `name#incarnation`, sorted.
     members: tuple[str, ...]
 
 
 NO_VIEW = View(0, ())
+_SEPARATOR = "#"
 _DECODER = msgspec.json.Decoder(View)
 
 
@@ -52,6 +53,21 @@
         ) from exc
 
 
+def make_run_id(name: str, incarnation: int) -> str:
+    """Returns how a view names one run of a node."""
+    return f"{name}{_SEPARATOR}{incarnation}"
+
+
+def name_of(run_id: str) -> str:
+    """Returns the node's name in a run's identity."""
+    return run_id.partition(_SEPARATOR)[0]
+
+
+def incarnation_of(run_id: str) -> int:
+    """Returns the incarnation in a run's identity, 0 when it has none."""
+    return int(run_id.partition(_SEPARATOR)[2] or 0)
+
+
 def owner_in(view: View, key: str) -> str | None:
     """Returns the owner of a key, None in an empty view."""
     return policy.owner_of(key, view.members)
@@ -62,15 +78,21 @@
 ) -> View | None:
     """Returns the view that should follow, None when it fits.
 
-    One member is changed: one that is gone leaves before one that is present
-    joins. The last member is never removed, because nobody would be left
-    whose vote stops it.
+    One member is changed: a node that has started again takes its own place,
+    then one that is gone leaves, then one that is present joins. The last
+    member is never removed, because nobody would be left whose vote stops it.
 
     Args:
         view: the current view.
-        present: names of the nodes that are alive beside the service.
-        gone: names of the nodes that left or are dead.
+        present: runs of nodes that are alive beside the service.
+        gone: runs of nodes that ended, left or are dead.
     """
+    by_name = {name_of(each): each for each in sorted(present)}
+    for old in view.members:
+        new = by_name.get(name_of(old))
+        if old in gone and new is not None and new != old:
+            members = {*view.members, new} - {old}
+            return View(view.epoch + 1, tuple(sorted(members)))
     for name in view.members:
         if name in gone and len(view.members) > 1:
             kept = tuple(each for each in view.members if each != name)
--- a/flamingolug/policy/_limit.py
+++ b/flamingolug/policy/_limit.py
@@ -17,6 +17,8 @@
 INCREASE = 1.25
 #: Part of the declared slots that a cold backend server starts with.
 COLD_START_SHARE = 0.25
+#: Calls in flight that it starts with at least.
+COLD_START_CALLS = 2.0
 
 
 class LimitState(NamedTuple):
@@ -31,7 +33,8 @@
 def initial_limit(slots: int, connections: int) -> LimitState:
     """Returns the limit of a backend server that has just announced itself."""
     ceiling = max(min(slots, connections), 1)
-    return LimitState(max(ceiling * COLD_START_SHARE, 1.0), ceiling)
+    first = max(ceiling * COLD_START_SHARE, COLD_START_CALLS)
+    return LimitState(min(first, float(ceiling)), ceiling)
 
 
 def next_limit(
--- a/flamingolug/policy/_wait.py
+++ b/flamingolug/policy/_wait.py
@@ -3,7 +3,7 @@
 #: Seconds of work that may wait in front of a backend server.
 WAIT_TARGET_S = 0.1
 #: Calls that may wait whatever the service time.
-MIN_WAITING = 2
+MIN_WAITING = 4
 
 
 def wait_capacity(limit: int, service_time_s: float) -> int:
--- a/flamingolug/telemetry/_names.py
+++ b/flamingolug/telemetry/_names.py
@@ -47,6 +47,8 @@
 
     #: The peer refused without running it.
     NOT_RUN = "not-run"
+    #: The key has moved to another owner.
+    OWNER_MOVED = "owner-moved"
     #: The peer could not be reached.
     UNREACHABLE = "unreachable"
     #: The outcome is unknown and the kind is idempotent.
--- a/flamingolug/tests/scenario.py
+++ b/flamingolug/tests/scenario.py
@@ -25,6 +25,7 @@
 from flamingolug import kernel
 from flamingolug import manifest
 from flamingolug import operations
+from flamingolug import ownership
 from flamingolug import settings
 from flamingolug import store
 from flamingolug import timing
@@ -239,9 +240,8 @@
         mates = {
             name for name, service in wanted if service == node.spec["service"]
         }
-        return wanted <= known and mates <= set(
-            upstream.owners.voter.view.members
-        )
+        owners = map(ownership.name_of, upstream.owners.voter.view.members)
+        return wanted <= known and mates <= set(owners)
 
 
 def free_address() -> str:
--- a/flamingolug_bench/faults.py
+++ b/flamingolug_bench/faults.py
@@ -21,7 +21,7 @@
 
 DEFAULT_SECONDS = 20.0
 _PORT = 20_000
-_RATE_SHARE = 0.35
+_RATE_SHARE = 0.7
 #: Seconds without new faults at the end, so that the fleet settles.
 _QUIET_S = 4.0
 _WARM_S = 1.0
@@ -114,9 +114,10 @@
 def _streams(
     place: flood.Place, found: manifest.Manifest, seconds: float
 ) -> list[load.Stream]:
+    share = _RATE_SHARE / flood.TIME_SCALE
     streams: list[load.Stream] = []
     for name, rate in place.calm.items():
-        phases = [load.Phase(0.0, seconds, rate * _RATE_SHARE)]
+        phases = [load.Phase(0.0, seconds, rate * share)]
         for caller in ("one", "two"):
             streams.append(
                 flood.make_stream(found.kinds[name], caller, phases, 4)
--- a/flamingolug_bench/rolling.py
+++ b/flamingolug_bench/rolling.py
@@ -14,7 +14,7 @@
 from flamingolug_bench import runner
 
 _SERVICE = "shopfront"
-_RATE_SHARE = 0.4
+_RATE_SHARE = 0.8
 _STOP_TIMEOUT_S = 20.0
 _BETWEEN_S = 2.0
 
@@ -24,17 +24,18 @@
     seconds = duration_s or 30.0
     place = flood.KYPARISSI
     found = flood.load_manifest(place)
-    plan = deployment.DeploymentPlan(found, place.services)
+    plan = deployment.DeploymentPlan(found, place.services, log_level="info")
     with deployment.Deployment(plan) as running:
         nodes = [each for each in running.nodes if each.service == _SERVICE]
         entries = [
             each.http for each in running.nodes if each.service != _SERVICE
         ]
+        share = _RATE_SHARE / flood.TIME_SCALE
         streams = [
             flood.make_stream(
                 found.kinds[name],
                 "rolling",
-                [load.Phase(0.0, seconds, rate * _RATE_SHARE)],
+                [load.Phase(0.0, seconds, rate * share)],
                 0,
             )
             for name, rate in place.calm.items()
@@ -49,6 +50,9 @@
     reasons: dict[str, int] = {}
     for each in failed:
         label = f"{each.kind} {each.outcome} {each.reason} {each.status}"
+        print(
+            f"    at {each.arrived_s:.2f} s took {each.took_s:.2f} s: {label}"
+        )
         reasons[label] = reasons.get(label, 0) + 1
     for label, count in sorted(reasons.items()):
         print(f"  failed: {label}: {count}")
