--- a/flamingolug/node/_plugins.py
+++ b/flamingolug/node/_plugins.py
@@ -151,11 +151,14 @@
 def _build_store(built: kernel.Kernel) -> object:
     url = _settings(built).store_url
     counters = _counters(built)
-    counters.declare(STORE_CALLS, "Calls to the store", "operation")
+    counters.declare(STORE_CALLS, "Calls to the store", "operation", "purpose")
     if not url:
         return None
     return store.HttpStore(
-        url, lambda operation: counters.add(STORE_CALLS, operation)
+        url,
+        lambda operation, purpose: counters.add(
+            STORE_CALLS, operation, purpose
+        ),
     )
 
 
--- a/flamingolug/store/_http.py
+++ b/flamingolug/store/_http.py
@@ -23,13 +23,16 @@
     """The key-value service at one base URL."""
 
     def __init__(
-        self, url: str, on_call: Callable[[str], None] = lambda purpose: None
+        self,
+        url: str,
+        on_call: Callable[[str, str], None] = lambda operation, purpose: None,
     ) -> None:
         """Creates a client.
 
         Args:
             url: base URL such as `http://127.0.0.1:7000`.
-            on_call: told the operation of each call, for counting.
+            on_call: told operation and purpose of each call, for counting.
+                The purpose is the second part of the key.
         """
         parts = urllib.parse.urlsplit(url)
         self._pool = web.Pool(parts.hostname or "", parts.port or 80, 4)
@@ -43,8 +46,8 @@
         """See `Store.swap`."""
         reply = self._call(
             "swap",
-            "PUT",
-            f"{_path(key)}?expected={expected_version}",
+            key,
+            f"?expected={expected_version}",
             value,
             CALL_TIMEOUT_S,
         )
@@ -67,7 +70,7 @@
     def _entry(
         self, operation: str, key: str, query: str, timeout_s: float
     ) -> _interface.Entry:
-        reply = self._call(operation, "GET", _path(key) + query, b"", timeout_s)
+        reply = self._call(operation, key, query, b"", timeout_s)
         return _interface.Entry(
             reply.body, int(reply.header("store-version") or 0)
         )
@@ -75,17 +78,17 @@
     def _call(
         self,
         operation: str,
-        method: str,
-        target: str,
+        key: str,
+        query: str,
         body: bytes,
         timeout_s: float,
     ) -> web.Reply:
-        self._on_call(operation)
+        self._on_call(operation, key.split("/")[1])
         try:
             reply = web.exchange(
                 self._pool,
-                method,
-                target,
+                "PUT" if operation == "swap" else "GET",
+                _path(key) + query,
                 (),
                 body,
                 timeout_s=timeout_s,
--- a/flamingolug/web/_server.py
+++ b/flamingolug/web/_server.py
@@ -19,6 +19,7 @@
 _BACKLOG = 1024
 #: Key of the environment under which the client's socket is found.
 SOCKET_KEY = "flamingolug.socket"
+_ABANDON_KEY = "flamingolug.abandon-body"
 #: Seconds between looks at whether requests are still in progress.
 _STOP_POLL_S = 0.02
 #: Seconds in which callers may still use connections that they keep open.
@@ -70,8 +71,19 @@
         """Returns the WSGI environment with the socket added."""
         environ: Environ = super().get_environ()
         environ[SOCKET_KEY] = self.socket
+        environ[_ABANDON_KEY] = self._abandon_body
         return environ
 
+    def _abandon_body(self) -> None:
+        """Closes the connection after the answer, the body left unread.
+
+        The library would else read a refused body to its end, however long
+        the caller takes to send it.
+        """
+        self.close_connection = True
+        stream: Any = self.wsgi_input
+        stream._chunked_input_error = True
+
     def start_response(
         self, status: str, headers: list[tuple[str, str]], exc_info: Any = None
     ) -> Any:
@@ -164,7 +176,7 @@
     stream = environ["wsgi.input"]
     if declared:
         length = int(declared)
-        _check_size(length, max_bytes)
+        _check_size(environ, length, max_bytes)
         if length == 0:
             return b""
         body: bytes = stream.read(length)
@@ -179,13 +191,14 @@
     if "HTTP_TRANSFER_ENCODING" not in environ:
         return b""
     body = stream.read(max_bytes + 1)
-    _check_size(len(body), max_bytes)
+    _check_size(environ, len(body), max_bytes)
     return body
 
 
-def _check_size(length: int, max_bytes: int) -> None:
+def _check_size(environ: Environ, length: int, max_bytes: int) -> None:
     """Raises BodyTooLargeError when `length` passes `max_bytes`."""
     if length > max_bytes:
+        environ[_ABANDON_KEY]()
         raise errors.BodyTooLargeError(
             f"request body of {length} bytes passes {max_bytes}", step="read"
         )
