Key owners: fewer votes, no gap while a node is replaced

Change: each member asks half of the others once a second, all of them when its right gets short; a node owns keys only once its hold is over; only calls that the backend server got are handed over as running.

--- a/flamingolug/configuration/_holder.py
+++ b/flamingolug/configuration/_holder.py
@@ -71,6 +71,7 @@
         )
         self.in_force: InForce | None = None
         self._needs = needs
+        self._task: gevent.Greenlet[..., None] | None = None
         self._fetching = False
         self._store_version = 0
         self._listeners: list[Callable[[InForce], None]] = []
@@ -79,7 +80,12 @@
     def start(self) -> None:
         """Begins to follow the store where this node has that role."""
         if self._needs.store is not None:
-            gevent.spawn(self._follow_store, self._needs.store)
+            self._task = gevent.spawn(self._follow_store, self._needs.store)
+
+    def stop(self) -> None:
+        """Ends following the store."""
+        if self._task is not None:
+            self._task.kill()
 
     def subscribe(self, listener: Callable[[InForce], None]) -> None:
         """Calls `listener` with each manifest that comes into force."""
--- a/flamingolug/membership/_table.py
+++ b/flamingolug/membership/_table.py
@@ -42,6 +42,8 @@
     state: MemberState
     #: Orders reports about one incarnation.
     version: int
+    #: Whether it may own keys; a node that has just started holds its votes.
+    owns_keys: bool = False
     #: Monotonic seconds of this process when the record changed here.
     changed_at: float = 0.0
 
@@ -73,6 +75,7 @@
             "service": self.service,
             "state": str(self.state),
             "ver": self.version,
+            "own": self.owns_keys,
         }
 
 
@@ -92,6 +95,7 @@
         service=message["service"],
         state=MemberState(message["state"]),
         version=message["ver"],
+        owns_keys=message["own"],
         changed_at=now,
     )
 
--- a/flamingolug/node/_first_contact.py
+++ b/flamingolug/node/_first_contact.py
@@ -53,10 +53,16 @@
         self._needs = needs
         self._seeds = [str(each) for each in needs.cfg.seeds]
         self.joined = False
+        self._task: gevent.Greenlet[..., None] | None = None
 
     def start(self) -> None:
         """Begins to look for a peer."""
-        gevent.spawn(self._join)
+        self._task = gevent.spawn(self._join)
+
+    def stop(self) -> None:
+        """Ends looking for a peer."""
+        if self._task is not None:
+            self._task.kill()
 
     def add_seed(self, address: str) -> None:
         """Adds a peer address to try."""
--- a/flamingolug/node/_outcomes.py
+++ b/flamingolug/node/_outcomes.py
@@ -38,6 +38,7 @@
         """Starts without records."""
         self._now = now
         self._records: dict[str, _Record] = {}
+        self._dispatched: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._records)
@@ -70,6 +71,10 @@
         """Returns whether a key has a record here."""
         return key in self._records
 
+    def note_dispatched(self, key: str) -> None:
+        """Notes that the backend server is about to get a call."""
+        self._dispatched.add(key)
+
     def export(self, moves: Callable[[str], bool]) -> list[peers.RecordMessage]:
         """Returns the records of the keys for which `moves` holds."""
         now = self._now()
@@ -77,6 +82,9 @@
         for key, record in self._records.items():
             if not moves(key):
                 continue
+            if not record.result.ready() and key not in self._dispatched:
+                # It still waits, and will find that the key has moved.
+                continue
             outcome = calls.unknown("running", STEP, "", 0)
             if record.result.ready():
                 outcome = _without_large_body(
@@ -154,6 +162,7 @@
             outcome = run(call)
         except Exception as exc:
             outcome = calls.unknown(repr(exc), STEP, "", call.allowance)
+        self._dispatched.discard(call.key)
         if outcome.verdict is calls.Verdict.NOT_RUN:
             del self._records[call.key]
         elif len(outcome.body) > MAX_KEPT_BODY_BYTES:
--- a/flamingolug/node/_owners.py
+++ b/flamingolug/node/_owners.py
@@ -23,8 +23,10 @@
 from flamingolug.node import _outcomes
 
 _LOGGER = logging.getLogger(__name__)
-VOTE_INTERVAL_S = 0.5
-#: The same while a node waits for the right of a view.
+VOTE_INTERVAL_S = 1.0
+#: Seconds between two comparisons of the view with the membership.
+KEEP_INTERVAL_S = 0.5
+#: Seconds between two requests while a node waits for the right of a view.
 HURRY_INTERVAL_S = 0.1
 VOTE_TIMEOUT_S = 1.0
 #: Seconds between two tries to find a view.
@@ -95,7 +97,8 @@
 
     def start(self) -> None:
         """Begins to ask for votes."""
-        self._needs.timers.every(VOTE_INTERVAL_S, self._tick)
+        self._needs.timers.every(VOTE_INTERVAL_S, self._renew)
+        self._needs.timers.every(KEEP_INTERVAL_S, self._keep)
         self._needs.timers.every(HURRY_INTERVAL_S, self._hurry)
 
     def serve(self, service: str) -> None:
@@ -191,7 +194,7 @@
             members = self.voter.view.members
             if self._own_id() not in members or len(members) == 1:
                 # The new owners fetch the records now.
-                gevent.sleep(VOTE_INTERVAL_S)
+                gevent.sleep(KEEP_INTERVAL_S)
                 return
             gevent.sleep(_POLL_S)
 
@@ -211,16 +214,30 @@
             (self.voter.previous, self._previous_until),
         )
 
-    def _tick(self) -> None:
-        """Asks for votes, and does the keeper's work where it falls here."""
+    def _renew(self) -> None:
+        """Asks for votes before the right runs out."""
         self._forget_gaps()
+        self._tell_ready()
         view = self.voter.view
         if view.epoch == 0:
             self._find_view()
             return
-        if self._own_id() not in view.members and self.leaving:
+        if self._own_id() in view.members or not self.leaving:
+            self._ask_votes(view)
+
+    def _tell_ready(self) -> None:
+        """Tells once that the votes of an earlier run have run out."""
+        members = self._needs.members
+        ready_at = self._started_at + ownership.HOLD_S
+        if members.table.own.owns_keys or (self._needs.timers.now() < ready_at):
+            return
+        members.update_own(owns_keys=True)
+
+    def _keep(self) -> None:
+        """Does the keeper's work where it falls to this node."""
+        view = self.voter.view
+        if view.epoch == 0:
             return
-        self._ask_votes(view)
         until = ownership.right_until(view, self._asked_at)
         self._had_majority |= until > self._needs.timers.now()
         if self._is_keeper(view) and self._had_majority:
@@ -237,10 +254,20 @@
         self._ask_votes(view)
 
     def _ask_votes(self, view: ownership.View) -> None:
+        """Asks for the votes that are needed, or for all when in trouble."""
         self._vote_for_itself()
-        for name in map(ownership.name_of, view.members):
-            if name != self._own_name():
-                gevent.spawn(self._ask_vote, name, view)
+        names = list(map(ownership.name_of, view.members))
+        own = self._own_name()
+        if own in names:
+            # Each member begins behind itself, so that all are asked alike.
+            place = names.index(own)
+            names = names[place + 1 :] + names[:place]
+        left_s = ownership.right_until(view, self._asked_at)
+        left_s -= self._needs.timers.now()
+        if left_s > ownership.RIGHT_S / 2.0:
+            names = names[: len(view.members) // 2]
+        for name in names:
+            gevent.spawn(self._ask_vote, name, view)
 
     def _vote_for_itself(self) -> None:
         now = self._needs.timers.now()
@@ -329,7 +356,7 @@
             complete = self._try_handover(run_id, view)
             if complete:
                 break
-            gevent.sleep(VOTE_INTERVAL_S)
+            gevent.sleep(KEEP_INTERVAL_S)
         if not complete:
             self._add_gap(old if old.epoch else view, run_id)
         self._handovers.pop(run_id, None)
@@ -407,7 +434,11 @@
 
     def _is_keeper(self, view: ownership.View) -> bool:
         """Returns whether this node changes the view when it must."""
-        present = set(map(ownership.name_of, self._present()))
+        present = {
+            each.name
+            for each in self._needs.members.table.of_service(self._service)
+            if each.state is membership.MemberState.ALIVE
+        }
         names = sorted(map(ownership.name_of, view.members))
         able = [each for each in names if each in present]
         return bool(able) and able[0] == self._own_name()
@@ -417,7 +448,7 @@
         return [
             each.run_id()
             for each in self._needs.members.table.of_service(self._service)
-            if each.state is membership.MemberState.ALIVE
+            if each.state is membership.MemberState.ALIVE and each.owns_keys
         ]
 
     def _gone(self, view: ownership.View) -> list[str]:
--- a/flamingolug/node/_upstream.py
+++ b/flamingolug/node/_upstream.py
@@ -263,6 +263,8 @@
             return calls.not_run(
                 telemetry.Refusal.NO_RIGHT, "upstream", self._needs.cfg.name
             ), None
+        if call.non_idempotent and call.key:
+            self.outcomes.note_dispatched(call.key)
         parent = self.in_flight.open(call)
         own_s: float | None = None
         try:
--- a/flamingolug/peers/_messages.py
+++ b/flamingolug/peers/_messages.py
@@ -139,6 +139,7 @@
     #: alive, suspect, dead or left; `ver` orders reports of one incarnation.
     state: str
     ver: int
+    own: bool
 
 
 class PingMessage(TypedDict):
--- a/flamingolug/timing/_service.py
+++ b/flamingolug/timing/_service.py
@@ -44,6 +44,10 @@
 class GeventTimers:
     """Timers on the real clock, one greenlet per subscription."""
 
+    def __init__(self) -> None:
+        """Starts without subscriptions."""
+        self._subscriptions: list[Subscription] = []
+
     def now(self) -> float:
         """See `Timers.now`."""
         return time.monotonic()
@@ -57,6 +61,7 @@
     ) -> Subscription:
         """See `Timers.every`; an exception is logged, the next run follows."""
         subscription = Subscription()
+        self._subscriptions.append(subscription)
 
         def run() -> None:
             while subscription.active:
@@ -73,6 +78,11 @@
         gevent.spawn(run)
         return subscription
 
+    def stop(self) -> None:
+        """Cancels every subscription."""
+        for subscription in self._subscriptions:
+            subscription.cancel()
+
 
 class ManualTimers:
     """Timers whose clock moves only by `advance`, for tests."""
--- a/flamingolug_bench/program.py
+++ b/flamingolug_bench/program.py
@@ -36,6 +36,8 @@
 
 
 def _interrupt(number: int, frame: object) -> None:
+    del number, frame
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     raise KeyboardInterrupt
 
 
--- a/flamingolug_standins/backend.py
+++ b/flamingolug_standins/backend.py
@@ -92,6 +92,11 @@
         self._leaving = True
         self._tell_node("/-/leave", {}, LEAVE_TIMEOUT_S)
 
+    def close(self) -> None:
+        """Stops at once, without a word to its node."""
+        self._leaving = True
+        self.server.stop(0.0)
+
     def _announce(self) -> None:
         plan = self.plan
         while not self._leaving:
