Membership by neighbours and indexes; large modules divided

Cause: control cost grew with the fleet although messages did not (0.99, 1.09, 1.37, 1.57% of a core at 10, 20, 40, 80 idle nodes; line to 7.0% at 730): every tick and every call looked at all members, and heartbeats to members in turn would open a link, with its handshake, each second at 730. Change: the table is indexed by service and state; heartbeats go to neighbours at 1, 2, 4 ... places on a circle, so links stay open; changes are passed on to all neighbours at once. Router, key owners and their handover stand in modules of their own; errors are logged, and roles of few nodes decided, in one place. An attempt counts against an upstream only if its node was not heard. Tests: scenario, membership, router, admission, outcomes, configuration pass.

--- a/flamingolug/configuration/_holder.py
+++ b/flamingolug/configuration/_holder.py
@@ -31,8 +31,6 @@
 #: Seconds between two looks at whether this node watches the store.
 ROLE_INTERVAL_S = 1.0
 FETCH_TIMEOUT_S = 3.0
-#: Members told at once of a new revision.
-PUSH_COUNT = 6
 REVISIONS = "flamingolug.configuration.revisions"
 
 
@@ -133,7 +131,7 @@
         )
         for listener in self._listeners:
             listener(self.in_force)
-        self._needs.members.push_some(PUSH_COUNT)
+        self._needs.members.push_neighbours()
         return True
 
     def _check_same(
@@ -182,21 +180,12 @@
         finally:
             self._fetching = False
 
-    def _is_watcher(self) -> bool:
-        """Returns whether this node is one of its zone's store readers."""
-        table = self._needs.members.table
-        zone = [
-            each.name
-            for each in table.all()
-            if each.zone == table.own.zone
-            and each.state is membership.MemberState.ALIVE
-        ]
-        return table.own.name in sorted(zone)[:WATCHERS_PER_ZONE]
-
     def _follow_store(self, source: store.Store) -> None:
         """Watches the store while this node has the role."""
         while True:
-            if not self._is_watcher():
+            if not self._needs.members.is_among_first_of_zone(
+                WATCHERS_PER_ZONE
+            ):
                 gevent.sleep(ROLE_INTERVAL_S)
                 continue
             try:
@@ -206,12 +195,5 @@
                 self._store_version = entry.version
                 self.offer(entry.value, "store")
             except errors.FlamingolugError as exc:
-                telemetry.event(
-                    _LOGGER,
-                    "store.failed",
-                    level=logging.WARNING,
-                    step=exc.step,
-                    peer=exc.peer,
-                    error=exc.message,
-                )
+                telemetry.failure(_LOGGER, "store.failed", exc)
                 gevent.sleep(STORE_RETRY_S)
--- a/flamingolug/membership/_gossip.py
+++ b/flamingolug/membership/_gossip.py
@@ -1,11 +1,13 @@
 """Heartbeats among nodes that carry members, loads and the revision.
 
-Each node sends one heartbeat a second to one member, taken in turn from a
-shuffled list, and besides to those upstreams of the services it calls that
-have not reported of themselves lately. Changes of members ride on heartbeats
-a number of times that grows with the logarithm of the fleet.
+Each node sends one heartbeat a second to one of its neighbours in turn, and
+besides to those upstreams of the services it calls that have not reported of
+themselves lately. Neighbours are as many as the logarithm of the fleet, so
+links stay open and no handshake is made for a heartbeat. A change of members
+is passed on to all neighbours at once and rides on further heartbeats.
 """
 
+import hashlib
 import logging
 import math
 import random
@@ -30,8 +32,13 @@
 #: Age of a report at which its sender is asked for a new one.
 REPORT_AGE_S = 0.6
 #: Seconds that a service counts as in use after its last call.
-INTEREST_S = 10.0
+INTEREST_S = 2.0
 HEARTBEAT_TIMEOUT_S = 1.2
+#: One heartbeat in this many goes to a random member, so that parts of a
+#: fleet that were parted find each other whatever their order.
+MIX_EVERY = 10
+#: Seconds in which changes are gathered before they are passed on.
+PUSH_DELAY_S = 0.1
 #: Seconds that a suspected member has to refute.
 SUSPICION_S = 3.0
 #: One heartbeat in this many goes to a member that is not alive.
@@ -73,7 +80,11 @@
         self.table = _table.MemberTable(own)
         self._needs = needs
         self._resend: dict[str, int] = {}
-        self._round: list[str] = []
+        self._zone_names: list[str] = []
+        self._zone_changes = -1
+        self._neighbour_names: list[str] = []
+        self._neighbour_changes = -1
+        self._pushing = False
         self._turns = 0
         self._used_at: dict[str, float] = {}
         self._asking: set[str] = set()
@@ -113,20 +124,18 @@
         self._announce(changed)
 
     def leave(self) -> None:
-        """Tells some members at once that this node leaves."""
+        """Tells the neighbours at once that this node leaves."""
         self.update_own(state=_table.MemberState.LEFT)
-        self.push(self._alive_names())
+        self.push_neighbours()
 
     def push(self, names: list[str]) -> None:
         """Sends a heartbeat to each of `names` without waiting."""
         for name in names:
             gevent.spawn(self._heartbeat, name)
 
-    def push_some(self, count: int) -> None:
-        """Sends a heartbeat to some random members without waiting."""
-        names = self._alive_names()
-        self._needs.rng.shuffle(names)
-        self.push(names[:count])
+    def push_neighbours(self) -> None:
+        """Sends a heartbeat to each neighbour without waiting."""
+        self.push(self._neighbours())
 
     def contact(self, address: str) -> bool:
         """Asks the node at a peer address for all members.
@@ -184,6 +193,23 @@
         if changed is not None:
             self._announce(changed)
 
+    def is_among_first_of_zone(self, count: int) -> bool:
+        """Returns whether this node has a role that few of a zone take.
+
+        The first `count` alive members by name have it, by this node's own
+        view; for a while more or fewer may believe that they do.
+        """
+        if self._zone_changes != self.table.changes:
+            own = self.table.own
+            self._zone_changes = self.table.changes
+            self._zone_names = sorted(
+                each.name
+                for each in self.table.all()
+                if each.zone == own.zone
+                and each.state is _table.MemberState.ALIVE
+            )
+        return self.table.own.name in self._zone_names[:count]
+
     def report_lost(self, name: str) -> None:
         """Takes note that a call found a member silent or unreachable."""
         member = self.table.get(name)
@@ -215,6 +241,7 @@
         size = len(self._resend) + 2
         size = max(size, sum(1 for _ in self.table.all()) + 1)
         self._resend[member.name] = RESEND_FACTOR * math.ceil(math.log2(size))
+        self._push_soon()
         self._needs.counters.add(MEMBER_CHANGES, str(member.state))
         telemetry.event(
             _LOGGER,
@@ -248,23 +275,53 @@
         self.table.forget_old(self._needs.timers.now())
         self._needs.links.close_idle()
         if self._turns % REVIVE_EVERY == 0:
-            gone = self._names_in(_table.MemberState.DEAD)
+            gone = self.table.names_in(_table.MemberState.DEAD)
             if gone:
                 gevent.spawn(self._heartbeat, self._needs.rng.choice(gone))
-        name = self._next_in_round()
+        name = self._next_in_turn()
         if name is not None:
             gevent.spawn(self._heartbeat, name)
 
-    def _next_in_round(self) -> str | None:
-        while True:
-            if not self._round:
-                self._round = self._alive_names()
-                self._needs.rng.shuffle(self._round)
-            if not self._round:
-                return None
-            name = self._round.pop()
-            if self._is_contactable(name):
-                return name
+    def _next_in_turn(self) -> str | None:
+        """Returns the neighbour whose turn it is, now and then anyone."""
+        if self._turns % MIX_EVERY == 0:
+            names = self._alive_names()
+            return self._needs.rng.choice(names) if names else None
+        names = self._neighbours()
+        return names[self._turns % len(names)] if names else None
+
+    def _neighbours(self) -> list[str]:
+        """Returns the members that this node keeps links with.
+
+        All nodes order the members by a hash of their names, in a circle. The
+        neighbours stand 1, 2, 4, 8 ... places behind this node, so there are
+        as many as the logarithm of the fleet, and what each passes on to its
+        neighbours reaches everyone in as many steps.
+        """
+        if self._neighbour_changes == self.table.changes:
+            return self._neighbour_names
+        own = self.table.own.name
+        circle = sorted([own, *self._alive_names()], key=_place)
+        place = circle.index(own)
+        found: list[str] = []
+        step = 1
+        while step < len(circle):
+            found.append(circle[(place + step) % len(circle)])
+            step *= 2
+        self._neighbour_changes = self.table.changes
+        self._neighbour_names = found
+        return found
+
+    def _push_soon(self) -> None:
+        """Passes changes on to the neighbours, several at once."""
+        if self._pushing:
+            return
+        self._pushing = True
+        gevent.spawn_later(PUSH_DELAY_S, self._push_now)
+
+    def _push_now(self) -> None:
+        self._pushing = False
+        self.push_neighbours()
 
     def _is_contactable(self, name: str) -> bool:
         member = self.table.get(name)
@@ -279,12 +336,9 @@
             if each.name != own and self._is_contactable(each.name)
         ]
 
-    def _names_in(self, state: _table.MemberState) -> list[str]:
-        return [each.name for each in self.table.all() if each.state == state]
-
     def _end_suspicions(self) -> None:
         now = self._needs.timers.now()
-        for name in self._names_in(_table.MemberState.SUSPECT):
+        for name in self.table.names_in(_table.MemberState.SUSPECT):
             member = self.table.get(name)
             if member is None or now - member.changed_at < SUSPICION_S:
                 continue
@@ -360,3 +414,8 @@
         ping["members"] = self._all_records()
         ping["join"] = True
         self._ask(address, ping)
+
+
+def _place(name: str) -> bytes:
+    """Returns a member's place in the circle that all nodes agree on."""
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/flamingolug/membership/_loads.py
+++ b/flamingolug/membership/_loads.py
@@ -87,13 +87,6 @@
             return None
         return seen.report
 
-    def latest(self, name: str, incarnation: int) -> peers.LoadReport | None:
-        """Returns a peer's last report, whatever its age."""
-        seen = self._seen.get(name)
-        if seen is None or seen.report["inc"] != incarnation:
-            return None
-        return seen.report
-
     def age_s(self, name: str) -> float:
         """Returns the seconds since a peer's last report."""
         seen = self._seen.get(name)
--- a/flamingolug/membership/_table.py
+++ b/flamingolug/membership/_table.py
@@ -121,6 +121,13 @@
         self._own_name = own.name
         #: Exclusive or of the members' checksums: equal tables, equal sums.
         self.checksum = own.checksum()
+        #: Counts the changes, so that others can tell whether to look again.
+        self.changes = 0
+        self._by_service: dict[str, dict[str, Member]] = {}
+        self._by_state: dict[MemberState, set[str]] = {
+            state: set() for state in MemberState
+        }
+        self._index(own)
 
     @property
     def own(self) -> Member:
@@ -144,10 +151,11 @@
 
     def of_service(self, service: str) -> list[Member]:
         """Returns members beside backend servers of `service`, by name."""
-        found = [
-            each for each in self._members.values() if each.service == service
-        ]
-        return sorted(found)
+        return sorted(self._by_service.get(service, {}).values())
+
+    def names_in(self, state: MemberState) -> list[str]:
+        """Returns the names of the members in a state."""
+        return list(self._by_state[state])
 
     def merge(self, report: Member) -> bool:
         """Takes in a report; returns whether it changed the table.
@@ -176,11 +184,10 @@
 
     def forget_old(self, now: float) -> None:
         """Drops members that have been gone for long."""
-        for member in list(self._members.values()):
-            if member.is_present():
-                continue
-            if now - member.changed_at > FORGET_S:
-                del self._members[member.name]
+        for state in (MemberState.DEAD, MemberState.LEFT):
+            for name in self.names_in(state):
+                if now - self._members[name].changed_at > FORGET_S:
+                    self._drop(name)
 
     def _refute(self, report: Member) -> bool:
         own = self.own
@@ -195,8 +202,23 @@
 
     def _put(self, member: Member) -> None:
         """Stores a record and keeps the checksum."""
-        known = self._members.get(member.name)
-        if known is not None:
-            self.checksum ^= known.checksum()
+        self._drop(member.name)
         self._members[member.name] = member
         self.checksum ^= member.checksum()
+        self._index(member)
+
+    def _index(self, member: Member) -> None:
+        """Enters a record in the indexes: a call must not look at all."""
+        self._by_service.setdefault(member.service, {})[member.name] = member
+        self._by_state[member.state].add(member.name)
+        self.changes += 1
+
+    def _drop(self, name: str) -> None:
+        """Takes out a record, if there is one."""
+        known = self._members.pop(name, None)
+        if known is None:
+            return
+        self.checksum ^= known.checksum()
+        del self._by_service[known.service][name]
+        self._by_state[known.state].discard(name)
+        self.changes += 1
--- a/flamingolug/node/_admission.py
+++ b/flamingolug/node/_admission.py
@@ -218,11 +218,6 @@
         self._used_up = self.running >= int(self.limit.limit)
         self._grant()
 
-    def close(self, reason: telemetry.Refusal) -> None:
-        """Refuses every call that waits."""
-        while self._waiting:
-            self._refuse(self._waiting.pop(), reason)
-
     def _has_slot(self, times: KindTimes) -> bool:
         """Returns whether a call of a kind may start now."""
         limit = int(self.limit.limit)
--- a/flamingolug/node/_first_contact.py
+++ b/flamingolug/node/_first_contact.py
@@ -92,14 +92,7 @@
             contacts, version = _read(source)
             self._add_own(source, contacts, version)
         except errors.StoreError as exc:
-            telemetry.event(
-                _LOGGER,
-                "contacts.failed",
-                level=logging.WARNING,
-                step=exc.step,
-                peer=exc.peer,
-                error=exc.message,
-            )
+            telemetry.failure(_LOGGER, "contacts.failed", exc)
             return []
         return [each.peer for each in contacts]
 
@@ -131,19 +124,9 @@
         """Keeps the list useful; one node of each zone does it."""
         while True:
             gevent.sleep(REFRESH_S)
-            if self._is_first_of_zone():
+            if self._needs.members.is_among_first_of_zone(1):
                 self._from_store()
 
-    def _is_first_of_zone(self) -> bool:
-        table = self._needs.members.table
-        names = [
-            each.name
-            for each in table.all()
-            if each.zone == table.own.zone
-            and each.state is membership.MemberState.ALIVE
-        ]
-        return table.own.name == min(names, default="")
-
 
 def _read(source: store.Store) -> tuple[list[Contact], int]:
     """Returns the list and its version."""
--- a/flamingolug/node/_owners.py
+++ b/flamingolug/node/_owners.py
@@ -10,7 +10,6 @@
 from typing import NamedTuple
 
 import gevent
-from gevent import event
 
 from flamingolug import calls
 from flamingolug import errors
@@ -20,6 +19,7 @@
 from flamingolug import store
 from flamingolug import telemetry
 from flamingolug import timing
+from flamingolug.node import _handover
 from flamingolug.node import _outcomes
 
 _LOGGER = logging.getLogger(__name__)
@@ -33,27 +33,11 @@
 FIND_INTERVAL_S = 1.0
 #: Seconds after the start from which unknown members count as gone.
 UNKNOWN_IS_GONE_S = 60.0
-HANDOVER_TIMEOUT_S = 2.0
-HANDOVER_TRIES = 3
 #: Seconds that a call waits for a right that is about to come.
 RIGHT_WAIT_S = 1.5
-#: Seconds by which a key must be younger than a takeover to be new for sure.
-BIRTH_MARGIN_S = 4.0
-VIEW_CHANGES = "flamingolug.ownership.views"
 _POLL_S = 0.02
 
 
-class Gap(NamedTuple):
-    """Keys whose earlier runs this node knows nothing of."""
-
-    #: They had this owner under this view.
-    view: ownership.View
-    owner: str
-    #: When this node took over, monotonic and wall seconds.
-    since: float
-    since_wall: float
-
-
 class Needs(NamedTuple):
     """What ownership works with."""
 
@@ -75,9 +59,6 @@
 
     def __init__(self, needs: Needs) -> None:
         """Starts without a view."""
-        needs.counters.declare(
-            VIEW_CHANGES, "Views of key owners, by what was done", "result"
-        )
         now = needs.timers.now()
         self.voter = ownership.new_voter(now)
         self._needs = needs
@@ -88,10 +69,16 @@
         self._asked_at: dict[str, float] = {}
         self._previous_until = float("-inf")
         self._had_majority = False
-        self._gaps: list[Gap] = []
-        self._handovers: dict[str, ownership.View] = {}
-        self._settled = event.Event()
-        self._settled.set()
+        self._handover = _handover.Handover(
+            _handover.Needs(
+                members=needs.members,
+                links=needs.links,
+                outcomes=needs.outcomes,
+                timers=needs.timers,
+                counters=needs.counters,
+                next_id=needs.next_id,
+            )
+        )
         self._changing = False
         self._finding = False
 
@@ -127,21 +114,15 @@
         return self._may_run(key)
 
     def is_doubtful(self, call: calls.Call) -> bool:
-        """Returns whether a key unseen here may have run elsewhere.
+        """Returns whether a key unseen here may have run elsewhere."""
+        return self._handover.is_doubtful(call)
 
-        It waits for handovers that are on their way.
-        """
-        left_s = call.deadline - self._needs.timers.now()
-        self._settled.wait(max(min(left_s, RIGHT_WAIT_S), 0.0))
-        if not self._settled.is_set():
-            return True
-        for gap in self._gaps:
-            if ownership.owner_in(gap.view, call.key) != gap.owner:
-                continue
-            if call.key_born_at > gap.since_wall + BIRTH_MARGIN_S:
-                continue
-            return True
-        return False
+    def on_handover(self, inbound: peers.Inbound) -> None:
+        """Gives the records of keys that moved to the sender."""
+        message: peers.HandoverMessage = inbound.message
+        self._learn(message["epoch"], message["members"])
+        answer, body = self._handover.answer(message, self.voter.view)
+        self._needs.reply(inbound, peers.MessageType.RECORDS, answer, body)
 
     def on_vote(self, inbound: peers.Inbound) -> None:
         """Answers a request for a vote."""
@@ -165,28 +146,6 @@
             answer["members"] = list(view.members)
         self._needs.reply(inbound, peers.MessageType.VOTED, answer, b"")
 
-    def on_handover(self, inbound: peers.Inbound) -> None:
-        """Gives the records of keys that moved to the sender."""
-        message: peers.HandoverMessage = inbound.message
-        self._learn(message["epoch"], message["members"])
-        view = self.voter.view
-        complete = view.epoch >= message["epoch"]
-        records: list[peers.RecordMessage] = []
-        if complete:
-            records = self._needs.outcomes.export(
-                lambda key: ownership.owner_in(view, key) == message["name"]
-            )
-        answer: peers.RecordsMessage = {
-            "id": message["id"],
-            "complete": complete,
-        }
-        self._needs.reply(
-            inbound,
-            peers.MessageType.RECORDS,
-            answer,
-            peers.encode_records(records),
-        )
-
     def leave(self, timeout_s: float) -> None:
         """Waits until this node owns no key any more."""
         deadline = self._needs.timers.now() + timeout_s
@@ -216,7 +175,7 @@
 
     def _renew(self) -> None:
         """Asks for votes before the right runs out."""
-        self._forget_gaps()
+        self._handover.forget_old()
         self._tell_ready()
         view = self.voter.view
         if view.epoch == 0:
@@ -319,7 +278,7 @@
         self._previous_until = until
         self._asked_at = {}
         self._had_majority = False
-        self._needs.counters.add(VIEW_CHANGES, "adopted")
+        self._needs.counters.add(_handover.VIEW_CHANGES, "adopted")
         telemetry.event(
             _LOGGER,
             "owners.adopted",
@@ -327,73 +286,13 @@
             epoch=view.epoch,
             members=",".join(view.members),
         )
-        self._take_over(old, view)
+        self._handover.take_over(self._service, old, view)
         # Everyone learns at once that this node acts under the old view no
         # more; that ends the holds of the others.
         names = set(map(ownership.name_of, (*old.members, *view.members)))
         for name in names - {self._own_name()}:
             gevent.spawn(self._ask_vote, name, view)
 
-    def _take_over(self, old: ownership.View, view: ownership.View) -> None:
-        """Fetches the records of keys that this node owns newly."""
-        own = self._own_id()
-        if own not in view.members or view.epoch == 1:
-            return
-        sources = {*old.members, *view.members} - {own}
-        if old.epoch == view.epoch - 1 and own in old.members:
-            sources = set(old.members) - set(view.members)
-        for run_id in sources:
-            self._handovers[run_id] = old
-            self._settled.clear()
-            gevent.spawn(self._fetch_records, run_id, old, view)
-
-    def _fetch_records(
-        self, run_id: str, old: ownership.View, view: ownership.View
-    ) -> None:
-        """Takes over the records of one earlier owner."""
-        complete = False
-        for _ in range(HANDOVER_TRIES):
-            complete = self._try_handover(run_id, view)
-            if complete:
-                break
-            gevent.sleep(KEEP_INTERVAL_S)
-        if not complete:
-            self._add_gap(old if old.epoch else view, run_id)
-        self._handovers.pop(run_id, None)
-        if not self._handovers:
-            self._settled.set()
-
-    def _try_handover(self, run_id: str, view: ownership.View) -> bool:
-        member = self._needs.members.table.by_run_id(run_id)
-        if member is None or member.state is membership.MemberState.DEAD:
-            return False
-        message: peers.HandoverMessage = {
-            "id": self._needs.next_id(),
-            "name": self._own_id(),
-            "svc": self._service,
-            "epoch": view.epoch,
-            "members": list(view.members),
-        }
-        try:
-            answer = self._needs.links.to(member.peer).request(
-                peers.MessageType.HANDOVER, message, b"", HANDOVER_TIMEOUT_S
-            )
-        except errors.FlamingolugError:
-            return False
-        found: peers.RecordsMessage = answer.message
-        self._needs.outcomes.take_over(peers.decode_records(answer.body))
-        return found["complete"]
-
-    def _add_gap(self, view: ownership.View, owner: str) -> None:
-        timers = self._needs.timers
-        self._gaps.append(Gap(view, owner, timers.now(), timers.wall()))
-        self._needs.counters.add(VIEW_CHANGES, "gap")
-        telemetry.event(_LOGGER, "owners.gap", peer=owner, epoch=view.epoch)
-
-    def _forget_gaps(self) -> None:
-        oldest = self._needs.timers.now() - _outcomes.RETENTION_S
-        self._gaps = [each for each in self._gaps if each.since > oldest]
-
     def _find_view(self) -> None:
         """Looks for a view: at peers first, then in the store."""
         if not self._service or self._finding or self.leaving:
@@ -430,7 +329,7 @@
                 self.voter = self.voter._replace(hold_until=0.0)
             self._adopt(found)
         except errors.FlamingolugError as exc:
-            self._log_failure(exc)
+            telemetry.failure(_LOGGER, "owners.store-failed", exc)
 
     def _is_keeper(self, view: ownership.View) -> bool:
         """Returns whether this node changes the view when it must."""
@@ -492,16 +391,6 @@
             source.swap(key, ownership.encode_view(wanted), entry.version)
             self._adopt(wanted)
         except errors.FlamingolugError as exc:
-            self._log_failure(exc)
+            telemetry.failure(_LOGGER, "owners.store-failed", exc)
         finally:
             self._changing = False
-
-    def _log_failure(self, exc: errors.FlamingolugError) -> None:
-        telemetry.event(
-            _LOGGER,
-            "owners.store-failed",
-            level=logging.WARNING,
-            step=exc.step,
-            peer=exc.peer,
-            error=exc.message,
-        )
--- a/flamingolug/node/_plugins.py
+++ b/flamingolug/node/_plugins.py
@@ -21,9 +21,11 @@
 from flamingolug.node import _front
 from flamingolug.node import _health
 from flamingolug.node import _inbound
+from flamingolug.node import _keyed
 from flamingolug.node import _outcomes
 from flamingolug.node import _owners
 from flamingolug.node import _router
+from flamingolug.node import _sender
 from flamingolug.node import _upstream
 from flamingolug.node import _wire
 
@@ -286,21 +288,56 @@
     )
 
 
-@kernel.plugin("routing", ("upstream", "wire", "links", "loads"))
+@kernel.plugin("health", ("timers",))
+def _build_health(built: kernel.Kernel) -> object:
+    return _health.Health(_timers(built).now)
+
+
+@kernel.plugin("sender", ("upstream", "wire", "links", "loads", "health"))
+def _build_sender(built: kernel.Kernel) -> object:
+    return _sender.Sender(
+        _sender.Needs(
+            cfg=_settings(built),
+            members=built.get("membership", membership.Membership),
+            loads=built.get("loads", membership.LoadBoard),
+            links=built.get("links", peers.Links),
+            upstream=built.get("upstream", _upstream.Upstream),
+            health=built.get("health", _health.Health),
+            timers=_timers(built),
+            wire=built.get("wire", _wire.Wire),
+        )
+    )
+
+
+@kernel.plugin("keyed-routing", ("sender", "telemetry"))
+def _build_keyed_routing(built: kernel.Kernel) -> object:
+    return _keyed.KeyedRouter(
+        _keyed.Needs(
+            cfg=_settings(built),
+            members=built.get("membership", membership.Membership),
+            links=built.get("links", peers.Links),
+            upstream=built.get("upstream", _upstream.Upstream),
+            sender=built.get("sender", _sender.Sender),
+            timers=_timers(built),
+            counters=_counters(built),
+            wire=built.get("wire", _wire.Wire),
+        )
+    )
+
+
+@kernel.plugin("routing", ("sender", "keyed-routing", "configuration"))
 def _build_routing(built: kernel.Kernel) -> object:
-    timers = _timers(built)
     return _router.Router(
         _router.Needs(
             cfg=_settings(built),
             config=built.get("configuration", configuration.Configuration),
             members=built.get("membership", membership.Membership),
             loads=built.get("loads", membership.LoadBoard),
-            links=built.get("links", peers.Links),
-            upstream=built.get("upstream", _upstream.Upstream),
-            health=_health.Health(timers.now),
-            timers=timers,
+            health=built.get("health", _health.Health),
+            sender=built.get("sender", _sender.Sender),
+            keyed=built.get("keyed-routing", _keyed.KeyedRouter),
+            timers=_timers(built),
             counters=_counters(built),
-            wire=built.get("wire", _wire.Wire),
             rng=_identity(built).rng,
         )
     )
@@ -324,7 +361,9 @@
             upstream=upstream,
             counters=_counters(built),
             traffic=built.get("traffic", peers.Traffic),
-            ask_outcome=built.get("routing", _router.Router).ask_outcome,
+            ask_outcome=built.get(
+                "keyed-routing", _keyed.KeyedRouter
+            ).ask_outcome,
             request_stop=built.get("stop", gevent.event.Event).set,
             contact=first_contact.add_seed,
         )
--- a/flamingolug/node/_router.py
+++ b/flamingolug/node/_router.py
@@ -3,13 +3,9 @@
 import random
 from typing import NamedTuple
 
-import gevent
-
 from flamingolug import calls
 from flamingolug import configuration
-from flamingolug import errors
 from flamingolug import membership
-from flamingolug import peers
 from flamingolug import policy
 from flamingolug import settings
 from flamingolug import telemetry
@@ -17,21 +13,13 @@
 from flamingolug.node import _baseline
 from flamingolug.node import _below
 from flamingolug.node import _health
-from flamingolug.node import _upstream
-from flamingolug.node import _wire
+from flamingolug.node import _keyed
+from flamingolug.node import _sender
 
 #: Times that one hop sends a call at most.
 MAX_TRIES = 3
-#: Seconds that an answer may take beyond the deadline to travel.
-ANSWER_GRACE_S = 0.05
-#: Times that an owner of a key is looked for.
-MAX_OWNER_TRIES = 20
-ASK_TIMEOUT_S = 1.0
-#: Seconds before the owner of a key is asked again.
-OWNER_RETRY_S = 0.1
 #: Limit assumed of an upstream that has not reported yet.
 ASSUMED_LIMIT = 4
-RETRIES = "flamingolug.retries"
 RETRIES_DENIED = "flamingolug.retries.denied"
 CALLS = "flamingolug.calls"
 FAILURE_STATUSES = frozenset({500, 502, 503, 504})
@@ -58,12 +46,11 @@
     config: configuration.Configuration
     members: membership.Membership
     loads: membership.LoadBoard
-    links: peers.Links
-    upstream: _upstream.Upstream
     health: _health.Health
+    sender: _sender.Sender
+    keyed: _keyed.KeyedRouter
     timers: timing.Timers
     counters: telemetry.Counters
-    wire: _wire.Wire
     rng: random.Random
 
 
@@ -72,7 +59,6 @@
 
     def __init__(self, needs: Needs) -> None:
         """Starts with full retry budgets."""
-        needs.counters.declare(RETRIES, "Calls sent again", "reason")
         needs.counters.declare(
             RETRIES_DENIED, "Failed calls not sent again", "reason"
         )
@@ -82,9 +68,10 @@
         self._needs = needs
         self._baseline: _baseline.RoundRobin | None = None
         if needs.cfg.control == "none":
-            self._baseline = _baseline.RoundRobin(needs.members, self._send)
+            self._baseline = _baseline.RoundRobin(
+                needs.members, needs.sender.send
+            )
         self._budgets: dict[str, policy.RetryBudget] = {}
-        self._outstanding: dict[str, int] = {}
 
     def refuse_at_entry(self, call: calls.Call) -> calls.Outcome | None:
         """Returns a refusal if a service below would refuse the request.
@@ -108,7 +95,7 @@
         if self._baseline is not None:
             return self._baseline.route(call)
         if call.non_idempotent and call.key:
-            outcome = self._route_to_owner(call, found)
+            outcome = self._needs.keyed.route(call, found)
         else:
             outcome = self._try_upstreams(call, found)
         self._needs.counters.add(CALLS, call.service, str(outcome.verdict))
@@ -128,13 +115,18 @@
                 held, needed, MAX_TRIES - 1 - attempt
             )
             if share == 0:
-                return calls.not_run(
-                    telemetry.Refusal.ALLOWANCE, "route", attempts=0
-                )._replace(attempts=call.allowance - held)
+                refused = calls.not_run(
+                    telemetry.Refusal.ALLOWANCE,
+                    "route",
+                    attempts=call.allowance - held,
+                )
+                return _honest(refused, may_have_run)
             member, outcome = self._pick(call, found, frozenset(tried))
             if member is not None:
                 tried.add(member.name)
-                outcome = self._send(member, call._replace(allowance=share))
+                outcome = self._needs.sender.send(
+                    member, call._replace(allowance=share)
+                )
             held -= outcome.attempts
             outcome = outcome._replace(attempts=call.allowance - held)
             if _is_success(outcome):
@@ -152,7 +144,7 @@
             if outcome.verdict is not calls.Verdict.NOT_RUN:
                 may_have_run = True
             budget.spend()
-            self._needs.counters.add(RETRIES, str(decision.retry))
+            self._needs.counters.add(_keyed.RETRIES, str(decision.retry))
         raise AssertionError("the last try returns")
 
     def _pick(
@@ -176,95 +168,13 @@
         refusal = choice.refusal or telemetry.Refusal.NO_UPSTREAM
         return None, calls.not_run(refusal, "route", call.service)
 
-    def ask_outcome(self, service: str, key: str) -> calls.Outcome:
-        """Returns what the owner of a key knows of it.
-
-        `no-record` as the reason of an unknown outcome means that the owner
-        never saw the key, or has forgotten it.
-        """
-        table = self._needs.members.table
-        name = self._guess_owner(service, key)
-        outcome = calls.unknown("no-owner", "ask", service, 0)
-        for _ in range(MAX_TRIES):
-            member = table.by_run_id(name)
-            if member is None:
-                break
-            outcome = self._ask_member(member, key)
-            if outcome.reason != _upstream.NO_RECORD or (
-                outcome.peer in ("", member.run_id())
-            ):
-                break
-            name = outcome.peer
-        return outcome
-
-    def _ask_member(self, member: membership.Member, key: str) -> calls.Outcome:
-        if member.name == self._needs.cfg.name:
-            return self._needs.upstream.ask_outcome(key)
-        message: peers.OutcomeMessage = {
-            "id": self._needs.wire.next_id(),
-            "key": key,
-        }
-        try:
-            answer = self._needs.links.to(member.peer).request(
-                peers.MessageType.OUTCOME, message, b"", ASK_TIMEOUT_S
-            )
-        except errors.FlamingolugError as exc:
-            return calls.unknown(exc.message, "ask", member.name, 0)
-        return self._needs.wire.outcome(answer.message, answer.body)
-
-    def _route_to_owner(
-        self, call: calls.Call, found: configuration.InForce
-    ) -> calls.Outcome:
-        """Sends a keyed non-idempotent call to the node that owns its key.
-
-        Only the owner can tell whether an earlier try has run, so nothing is
-        refused on the way to it.
-        """
-        needed = found.manifest.attempts_needed(call.kind)
-        if call.allowance < needed:
-            return calls.not_run(telemetry.Refusal.ALLOWANCE, "route")
-        table = self._needs.members.table
-        outcome = calls.not_run(
-            telemetry.Refusal.NO_UPSTREAM, "route", call.service
-        )
-        asked: set[str] = set()
-        owner = self._guess_owner(call.service, call.key)
-        for _ in range(MAX_OWNER_TRIES):
-            member = table.by_run_id(owner)
-            if member is not None:
-                outcome = self._send(member, call)
-                if not _is_misrouted(outcome):
-                    break
-                self._needs.counters.add(
-                    RETRIES, str(telemetry.Retry.OWNER_MOVED)
-                )
-            asked.add(owner)
-            owner = outcome.peer
-            if owner in asked or table.by_run_id(owner) is None:
-                # While a change of owners spreads, each names the other.
-                gevent.sleep(OWNER_RETRY_S)
-                asked.clear()
-                owner = self._guess_owner(call.service, call.key)
-            if self._needs.timers.now() + OWNER_RETRY_S > call.deadline:
-                break
-        return _doubted(outcome)
-
-    def _guess_owner(self, service: str, key: str) -> str:
-        """Returns the owner of a key by this node's own membership."""
-        runs = [
-            each.run_id()
-            for each in self._needs.members.table.of_service(service)
-            if each.is_present()
-        ]
-        return policy.owner_of(key, runs) or ""
-
     def _candidate(
         self, member: membership.Member, found: configuration.InForce
     ) -> policy.Candidate:
         """Returns how an upstream looks from here."""
         loads = self._needs.loads
         report = loads.fresh(member.name, member.incarnation)
-        outstanding = self._outstanding.get(member.name, 0)
+        outstanding = self._needs.sender.outstanding(member.name)
         cutoff = membership.OPEN
         leaving = member.state in (
             membership.MemberState.DEAD,
@@ -301,54 +211,6 @@
         if staying:
             self._needs.loads.observe(service, max(staying), found.revision)
 
-    def _send(
-        self, member: membership.Member, call: calls.Call
-    ) -> calls.Outcome:
-        """Sends one attempt; its `attempts` covers all that may be used."""
-        if member.name == self._needs.cfg.name:
-            outcome = self._needs.upstream.serve(call)
-            return outcome if _is_misrouted(outcome) else _charge(outcome)
-        name = member.name
-        self._outstanding[name] = self._outstanding.get(name, 0) + 1
-        try:
-            outcome = self._send_to_peer(member, call)
-        finally:
-            self._outstanding[name] -= 1
-        lost = outcome.verdict is calls.Verdict.UNKNOWN or (
-            outcome.reason == telemetry.Refusal.UNREACHABLE
-        )
-        if lost:
-            self._needs.members.report_lost(name)
-        self._needs.health.record(name, not lost)
-        return outcome if _is_misrouted(outcome) else _charge(outcome)
-
-    def _send_to_peer(
-        self, member: membership.Member, call: calls.Call
-    ) -> calls.Outcome:
-        left_s = call.deadline - self._needs.timers.now()
-        if left_s <= 0.0:
-            return calls.not_run(telemetry.Refusal.DEADLINE, "route")
-        message = self._needs.wire.call_message(call, member.incarnation)
-        try:
-            answer = self._needs.links.to(member.peer).request(
-                peers.MessageType.CALL,
-                message,
-                call.body,
-                left_s + ANSWER_GRACE_S,
-            )
-        except errors.PeerUnreachableError as exc:
-            return calls.not_run(
-                telemetry.Refusal.UNREACHABLE, exc.step, member.name
-            )
-        except errors.PeerLostError as exc:
-            return calls.unknown(
-                exc.message, exc.step, member.name, call.allowance
-            )
-        load = answer.message.get("load")
-        if load is not None:
-            self._needs.loads.record(load)
-        return self._needs.wire.outcome(answer.message, answer.body)
-
     def _question(
         self,
         call: calls.Call,
@@ -380,36 +242,6 @@
     )
 
 
-def _charge(outcome: calls.Outcome) -> calls.Outcome:
-    """Counts each send as an attempt, also one that was refused."""
-    return outcome._replace(attempts=max(outcome.attempts, 1))
-
-
-def _is_misrouted(outcome: calls.Outcome) -> bool:
-    """Returns whether another node owns the key; this is no attempt."""
-    return outcome.reason == telemetry.Refusal.NO_RIGHT
-
-
-#: Steps of refusals that are not the word of a key's owner.
-_OTHERS_STEPS = frozenset(
-    {"route", "link", "link.request", "inbound", "ownership"}
-)
-
-
-def _doubted(outcome: calls.Outcome) -> calls.Outcome:
-    """Says `unknown` where the owner of the key was not heard.
-
-    This try did not run, but an earlier one with the same key may have.
-    """
-    if outcome.verdict is not calls.Verdict.NOT_RUN:
-        return outcome
-    if outcome.step not in _OTHERS_STEPS and (
-        outcome.reason != telemetry.Refusal.NO_UPSTREAM
-    ):
-        return outcome
-    return outcome._replace(verdict=calls.Verdict.UNKNOWN)
-
-
 def _honest(outcome: calls.Outcome, may_have_run: bool) -> calls.Outcome:
     """Says `unknown` where an earlier attempt may have run."""
     if may_have_run and outcome.verdict is calls.Verdict.NOT_RUN:
--- /dev/null
+++ b/flamingolug/node/_sender.py
@@ -0,0 +1,107 @@
+"""Sends one attempt of a call to the node of an upstream."""
+
+from typing import NamedTuple
+
+from flamingolug import calls
+from flamingolug import errors
+from flamingolug import membership
+from flamingolug import peers
+from flamingolug import settings
+from flamingolug import telemetry
+from flamingolug import timing
+from flamingolug.node import _health
+from flamingolug.node import _upstream
+from flamingolug.node import _wire
+
+#: Seconds that an answer may take beyond the deadline to travel.
+ANSWER_GRACE_S = 0.05
+
+
+class Needs(NamedTuple):
+    """What sending works with."""
+
+    cfg: settings.Settings
+    members: membership.Membership
+    loads: membership.LoadBoard
+    links: peers.Links
+    upstream: _upstream.Upstream
+    health: _health.Health
+    timers: timing.Timers
+    wire: _wire.Wire
+
+
+class Sender:
+    """Sends attempts and notes what they show of each upstream."""
+
+    def __init__(self, needs: Needs) -> None:
+        """Starts with nothing outstanding."""
+        self._needs = needs
+        self._outstanding: dict[str, int] = {}
+
+    def outstanding(self, name: str) -> int:
+        """Returns the attempts sent to a node and not answered yet."""
+        return self._outstanding.get(name, 0)
+
+    def send(
+        self, member: membership.Member, call: calls.Call
+    ) -> calls.Outcome:
+        """Sends one attempt.
+
+        Returns:
+            Its outcome; `attempts` covers all that may have been used, and
+            is at least 1 unless the node did not own the key.
+        """
+        if member.name == self._needs.cfg.name:
+            return _charge(self._needs.upstream.serve(call))
+        name = member.name
+        self._outstanding[name] = self.outstanding(name) + 1
+        try:
+            return _charge(self._send_to_peer(member, call))
+        finally:
+            self._outstanding[name] -= 1
+
+    def _send_to_peer(
+        self, member: membership.Member, call: calls.Call
+    ) -> calls.Outcome:
+        left_s = call.deadline - self._needs.timers.now()
+        if left_s <= 0.0:
+            return calls.not_run(telemetry.Refusal.DEADLINE, "route")
+        message = self._needs.wire.call_message(call, member.incarnation)
+        try:
+            answer = self._needs.links.to(member.peer).request(
+                peers.MessageType.CALL,
+                message,
+                call.body,
+                left_s + ANSWER_GRACE_S,
+            )
+        except errors.PeerUnreachableError as exc:
+            self._note_lost(member.name)
+            return calls.not_run(
+                telemetry.Refusal.UNREACHABLE, exc.step, member.name
+            )
+        except errors.PeerLostError as exc:
+            self._note_lost(member.name)
+            return calls.unknown(
+                exc.message, exc.step, member.name, call.allowance
+            )
+        self._needs.health.record(member.name, True)
+        load = answer.message.get("load")
+        if load is not None:
+            self._needs.loads.record(load)
+        return self._needs.wire.outcome(answer.message, answer.body)
+
+    def _note_lost(self, name: str) -> None:
+        self._needs.members.report_lost(name)
+        self._needs.health.record(name, False)
+
+
+def is_misrouted(outcome: calls.Outcome) -> bool:
+    """Returns whether the node did not own the key; this is no attempt."""
+    return outcome.reason == telemetry.Refusal.NO_RIGHT
+
+
+def _charge(outcome: calls.Outcome) -> calls.Outcome:
+    """Counts each send as an attempt, also one that was refused."""
+    if is_misrouted(outcome):
+        return outcome
+    return outcome._replace(attempts=max(outcome.attempts, 1))
--- a/flamingolug/node/_upstream.py
+++ b/flamingolug/node/_upstream.py
@@ -37,8 +37,6 @@
 #: Reason of an outcome that nothing is known of.
 NO_RECORD = "no-record"
 _POLL_S = 0.02
-#: Members told at once that the backend server comes or goes.
-PUSH_COUNT = 8
 
 
 class Announcement(NamedTuple):
@@ -128,7 +126,6 @@
         )
         self.owners.serve(announced.service)
         self._needs.members.update_own(service=announced.service)
-        self._needs.members.push_some(PUSH_COUNT)
 
     def withdraw(self) -> None:
         """Takes no new work from now on; calls that wait are refused."""
@@ -140,7 +137,6 @@
         )
         self.owners.leaving = True
         self._needs.members.update_own(service="")
-        self._needs.members.push_some(PUSH_COUNT)
 
     def drain(self, timeout_s: float) -> int:
         """Waits until others own its keys and nothing runs or waits.
--- a/flamingolug/node/tests/test_router.py
+++ b/flamingolug/node/tests/test_router.py
@@ -4,6 +4,7 @@
 
 from flamingolug import calls
 from flamingolug import telemetry
+from flamingolug.node import _keyed
 from flamingolug.node import _router
 
 _REFUSAL = telemetry.Refusal
@@ -28,7 +29,7 @@
         }
         for name, (reason, step, expected) in cases.items():
             with self.subTest(name):
-                said = _router._doubted(calls.not_run(reason, step))
+                said = _keyed.say_only_owners_word(calls.not_run(reason, step))
                 self.assertEqual(str(said.verdict), expected)
 
     def test_a_refused_retry_does_not_hide_a_run_before_it(self) -> None:
@@ -41,4 +42,4 @@
     def test_an_answer_is_left_as_it_is(self) -> None:
         answer = calls.answered(503, (), b"busy", 1)
         self.assertEqual(_router._honest(answer, True), answer)
-        self.assertEqual(_router._doubted(answer), answer)
+        self.assertEqual(_keyed.say_only_owners_word(answer), answer)
--- a/flamingolug/telemetry/__init__.py
+++ b/flamingolug/telemetry/__init__.py
@@ -3,6 +3,7 @@
 from flamingolug.telemetry._counters import Counters
 from flamingolug.telemetry._log import configure
 from flamingolug.telemetry._log import event
+from flamingolug.telemetry._log import failure
 from flamingolug.telemetry._names import Refusal
 from flamingolug.telemetry._names import Retry
 from flamingolug.telemetry._names import RetryDenied
@@ -14,4 +15,5 @@
     "RetryDenied",
     "configure",
     "event",
+    "failure",
 ]
--- a/flamingolug/telemetry/_log.py
+++ b/flamingolug/telemetry/_log.py
@@ -4,6 +4,8 @@
 import logging
 import sys
 
+from flamingolug import errors
+
 _SAFE = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+,"
 )
@@ -44,6 +46,20 @@
     logger.log(level, "%s", " ".join(pairs))
 
 
+def failure(
+    logger: logging.Logger, name: str, exc: errors.FlamingolugError
+) -> None:
+    """Logs an error as a warning, with its step and peer."""
+    event(
+        logger,
+        name,
+        level=logging.WARNING,
+        step=exc.step,
+        peer=exc.peer,
+        error=exc.message,
+    )
+
+
 def _quote(text: str) -> str:
     """Returns `text` quoted as JSON unless it is plain."""
     if text and all(character in _SAFE for character in text):
