--- a/flamingolug/node/_owners.py
+++ b/flamingolug/node/_owners.py
@@ -28,6 +28,9 @@
 KEEP_INTERVAL_S = 0.5
 #: Seconds between two requests while a node waits for the right of a view.
 HURRY_INTERVAL_S = 0.1
+#: Seconds after a change in which it hurries; a view that has no majority for
+#: longer is not helped by asking more often.
+HURRY_FOR_S = 5.0
 VOTE_TIMEOUT_S = 1.0
 #: Seconds between two tries to find a view.
 FIND_INTERVAL_S = 1.0
@@ -69,6 +72,7 @@
         self._asked_at: dict[str, float] = {}
         self._previous_until = float("-inf")
         self._had_majority = False
+        self._adopted_at = now
         self._handover = _handover.Handover(
             _handover.Needs(
                 members=needs.members,
@@ -207,8 +211,10 @@
         view = self.voter.view
         if self._own_id() not in view.members:
             return
-        until = ownership.right_until(view, self._asked_at)
-        if until > self._needs.timers.now():
+        now = self._needs.timers.now()
+        if ownership.right_until(view, self._asked_at) > now:
+            return
+        if now - self._adopted_at > HURRY_FOR_S:
             return
         self._ask_votes(view)
 
@@ -277,6 +283,7 @@
         self.voter = ownership.adopt(self.voter, view, self._own_name())
         self._previous_until = until
         self._asked_at = {}
+        self._adopted_at = self._needs.timers.now()
         self._had_majority = False
         self._needs.counters.add(_handover.VIEW_CHANGES, "adopted")
         telemetry.event(
