One task looks after all links; periodic work falls due together

Change: one supervisor for all links; subscriptions fall due at multiples of their interval, shifted by one random phase for each process. Tests: links and scenario pass.

--- a/flamingolug/peers/_link.py
+++ b/flamingolug/peers/_link.py
@@ -95,8 +95,8 @@
         self._closed = False
         self._sock: _socket.GreenSocket
         self._monitor: _socket.GreenSocket
+        self._replacing = False
         self._open()
-        gevent.spawn(self._supervise)
 
     def request(
         self,
@@ -237,20 +237,17 @@
                 continue
             self._fail_pending("connection refused")
 
-    def _supervise(self) -> None:
+    def supervise(self) -> None:
         """Probes a quiet link and replaces a silent one."""
-        while not self._closed:
-            gevent.sleep(CHECK_INTERVAL_S)
-            if not self._pending or self._closed:
-                continue
-            quiet_s = self._options.now() - self._heard_at
-            if quiet_s >= SILENT_S:
-                self._replace()
-                continue
-            if quiet_s >= QUIET_S:
-                self.send(
-                    _messages.MessageType.PING, self._options.make_probe()
-                )
+        if not self._pending or self._closed or self._replacing:
+            return
+        quiet_s = self._options.now() - self._heard_at
+        if quiet_s >= SILENT_S:
+            self._replacing = True
+            gevent.spawn(self._replace)
+            return
+        if quiet_s >= QUIET_S:
+            self.send(_messages.MessageType.PING, self._options.make_probe())
 
     def _replace(self) -> None:
         """Opens a fresh connection and settles what is pending there."""
@@ -258,7 +255,9 @@
         self._sock.close()
         self._monitor.close()
         self._open()
-        if not self._ready.wait(SETTLE_S):
+        came = self._ready.wait(SETTLE_S)
+        self._replacing = False
+        if not came:
             self._fail_pending("silent, and no fresh connection")
             return
         self._heard_at = self._options.now()
@@ -298,6 +297,10 @@
         options.counters.declare(LATE_ANSWERS, "Answers dropped as late")
         self._options = options
         self._links: dict[str, Link] = {}
+        self._closed = False
+        # One task looks after all links: a task for each would wake the
+        # process as often as there are links.
+        gevent.spawn(self._supervise)
 
     def to(self, address: str) -> Link:
         """Returns the link to a peer address, opening it if needed."""
@@ -314,8 +317,15 @@
                 del self._links[address]
                 link.close()
 
+    def _supervise(self) -> None:
+        while not self._closed:
+            gevent.sleep(CHECK_INTERVAL_S)
+            for link in list(self._links.values()):
+                link.supervise()
+
     def stop(self) -> None:
         """Closes all links."""
+        self._closed = True
         for link in self._links.values():
             link.close()
         self._links.clear()
--- a/flamingolug/timing/_service.py
+++ b/flamingolug/timing/_service.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import logging
+import random
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -47,6 +48,7 @@
     def __init__(self) -> None:
         """Starts without subscriptions."""
         self._subscriptions: list[Subscription] = []
+        self._phase_s = random.random()
 
     def now(self) -> float:
         """See `Timers.now`."""
@@ -65,7 +67,7 @@
 
         def run() -> None:
             while subscription.active:
-                gevent.sleep(interval_s)
+                gevent.sleep(self._until_next(interval_s))
                 if not subscription.active:
                     break
                 try:
@@ -78,6 +80,18 @@
         gevent.spawn(run)
         return subscription
 
+    def _until_next(self, interval_s: float) -> float:
+        """Returns the seconds until the next multiple of an interval.
+
+        Subscriptions with intervals that divide each other fall due together,
+        so that the process wakes up less often.
+        """
+        left_s = interval_s - (self.now() + self._phase_s) % interval_s
+        if left_s < interval_s / 10.0:
+            # It woke up a moment early; this one has just been run.
+            left_s += interval_s
+        return left_s
+
     def stop(self) -> None:
         """Cancels every subscription."""
         for subscription in self._subscriptions:
