--- a/flamingolug_bench/faults.py
+++ b/flamingolug_bench/faults.py
@@ -54,7 +54,9 @@
         count = _inject(running, run_, seed, seconds)
         records = run_.finish()
         time.sleep(1.0)
-        verdicts = judge(found, records, running.ledger())
+        ledger = running.ledger()
+        verdicts = judge(found, records, ledger)
+        _print_doubled(found, ledger)
         resets = running.metrics().get("flamingolug.peer.links.reset", {})
     print(f"link resets: {sum(resets.values())}")
     return {
@@ -111,6 +113,19 @@
     )
 
 
+def _print_doubled(
+    found: manifest.Manifest, ledger: Sequence[backend.LedgerEntry]
+) -> None:
+    """Prints each run of what ran more than once, for tracing the cause."""
+    runs: dict[tuple[str, str], list[backend.LedgerEntry]] = {}
+    for entry in ledger:
+        if found.kinds[entry.kind].non_idempotent:
+            runs.setdefault((entry.request, entry.kind), []).append(entry)
+    for entries in runs.values():
+        if len(entries) > 1:
+            print(f"  doubled: {entries}")
+
+
 def _streams(
     place: flood.Place, found: manifest.Manifest, seconds: float
 ) -> list[load.Stream]:
--- a/flamingolug_standins/backend.py
+++ b/flamingolug_standins/backend.py
@@ -61,6 +61,8 @@
     key: str
     kind: str
     completed: bool
+    #: Whether the server then told that it had not run the request.
+    disowned: bool = False
 
 
 class Backend:
@@ -168,6 +170,7 @@
             finally:
                 self.running -= 1
         if failed is not None:
+            entry.disowned = failed.header(calls.HEADER_OUTCOME) == "not-run"
             return _pass_on(start_response, failed)
         entry.completed = True
         text = f"{kind} {environ.get('QUERY_STRING', '')} "
