The judge leaves out runs that the backend server disowned

Cause: the check for doubled runs counted a run that the stand-in backend server began and then answered as not run, since its only call had been refused, and the run that followed on the caller's retry. Ruled out: two owners (the store was down, no view could change), a record lost at the owner (the first outcome was not-run, by the backend server's word). Change: disowned entries do not count; entries cut off without that word still do. Both are cases of the judge's test. Conclusion: the case is allowed; the check is otherwise as strict as before.

--- a/flamingolug_bench/faults.py
+++ b/flamingolug_bench/faults.py
@@ -77,13 +77,17 @@
     records: Sequence[load.Record],
     ledger: Sequence[backend.LedgerEntry],
 ) -> Verdicts:
-    """Compares what callers were told with what really ran."""
+    """Compares what callers were told with what really ran.
+
+    A run that the backend server itself disowned, because a call of its own
+    was refused before anything took effect, may be followed by another.
+    """
     runs: dict[tuple[str, str], int] = {}
     ran: set[str] = set()
     completed: set[str] = set()
     for entry in ledger:
         kind = found.kinds[entry.kind]
-        if kind.non_idempotent:
+        if kind.non_idempotent and not entry.disowned:
             pair = (entry.request, entry.kind)
             runs[pair] = runs.get(pair, 0) + 1
         if entry.completed:
--- a/flamingolug_bench/tests/test_bench.py
+++ b/flamingolug_bench/tests/test_bench.py
@@ -35,13 +35,23 @@
     return record
 
 
-def _ran(completed: bool = True) -> backend.LedgerEntry:
-    return backend.LedgerEntry("root", "key", _KIND, completed)
+def _ran(completed: bool = True, disowned: bool = False) -> backend.LedgerEntry:
+    return backend.LedgerEntry("root", "key", _KIND, completed, disowned)
 
 
 _CASES: dict[str, tuple[load.Record, list[backend.LedgerEntry], str | None]] = {
     "answered and run once": (_record(), [_ran()], None),
     "run twice": (_record(), [_ran(), _ran()], "doubled"),
+    "disowned by the backend server, then run": (
+        _record(),
+        [_ran(completed=False, disowned=True), _ran()],
+        None,
+    ),
+    "cut off, then run": (
+        _record(),
+        [_ran(completed=False), _ran()],
+        "doubled",
+    ),
     "another's answer": (_record(own=False), [_ran()], "wrong"),
     "answered but not run": (_record(), [], "lost"),
     "told not run, and was not": (_record(outcome="not-run"), [], None),
