Keyed calls read after a pause are sent back to be tried again

Change: an owner that notices a gap in its own beat sends keyed calls back for 0.3 s; the caller's node looks for the owner again.

--- a/flamingolug/node/_inbound.py
+++ b/flamingolug/node/_inbound.py
@@ -17,6 +17,11 @@
 #: Seconds that a barred call stays barred; longer than any deadline.
 KEEP_BARRED_S = 300.0
 PURGE_INTERVAL_S = 1.0
+BEAT_INTERVAL_S = 0.1
+#: Seconds between two beats that show a pause of the process.
+PAUSE_S = 0.5
+#: Seconds after a pause in which keyed calls are sent back.
+DISTRUST_S = 0.3
 #: Bytes of answers kept at most.
 MAX_KEPT_BYTES = 16_777_216
 BARRED = "flamingolug.peer.calls.barred"
@@ -66,6 +71,8 @@
         self._done: dict[_Key, _Done] = {}
         self._kept_bytes = 0
         self._barred: dict[_Key, float] = {}
+        self._beat_at = needs.timers.now()
+        self._distrust_until = float("-inf")
         # Highest number, by sender, of a call whose answer was dropped.
         self._forgotten: dict[int, int] = {}
         endpoint = needs.endpoint
@@ -78,6 +85,7 @@
     def start(self) -> None:
         """Begins to forget old answers."""
         self._needs.timers.every(PURGE_INTERVAL_S, self._purge)
+        self._needs.timers.every(BEAT_INTERVAL_S, self._beat)
 
     def is_busy(self) -> bool:
         """Returns whether calls of peers are in progress."""
@@ -125,7 +133,9 @@
         self, message: peers.CallMessage, body: bytes
     ) -> calls.Outcome:
         own = self._needs.members.table.own.name
-        if message["to"] != self._needs.incarnation:
+        if message["to"] != self._needs.incarnation or (
+            self._may_be_stale(message)
+        ):
             run_id = self._needs.members.table.own.run_id()
             return calls.not_run(telemetry.Refusal.NO_RIGHT, "inbound", run_id)
         call = self._needs.wire.call(message, body)
@@ -133,6 +143,24 @@
             return calls.not_run(telemetry.Refusal.UNKNOWN_KIND, "inbound", own)
         return self._needs.upstream.serve(call)
 
+    def _beat(self) -> None:
+        """Notices that this process was paused."""
+        now = self._needs.timers.now()
+        if now - self._beat_at > PAUSE_S:
+            self._distrust_until = now + DISTRUST_S
+        self._beat_at = now
+
+    def _may_be_stale(self, message: peers.CallMessage) -> bool:
+        """Returns whether a keyed call may have lain here during a pause.
+
+        A call carries its time left, which does not age in a socket. A later
+        try of its key may have been told by now that it did not run.
+        """
+        if not message["key"]:
+            return False
+        now = self._needs.timers.now()
+        return now - self._beat_at > PAUSE_S or now < self._distrust_until
+
     def _on_cancel(self, inbound: peers.Inbound) -> None:
         message: peers.CancelMessage = inbound.message
         running = self._running.get((message["org"], message["id"]))
