Review: one question for keyed calls, one way to slow a place, true comments

Cause: 'non-idempotent with a key' was spelled out in seven places; the bench had two functions that differ in one field; comments of withdraw, rolling and the revert check told what the code no longer does or never did. Change: Call.needs_owner; one _set_slow for services and zones; comments mended. Behaviour is as before.

--- a/flamingolug/calls/_types.py
+++ b/flamingolug/calls/_types.py
@@ -48,6 +48,10 @@
     allowance: int
     non_idempotent: bool
 
+    def needs_owner(self) -> bool:
+        """Returns whether only the owner of its key may run it."""
+        return self.non_idempotent and bool(self.key)
+
 
 class Outcome(NamedTuple):
     """How a call ended."""
--- a/flamingolug/node/_router.py
+++ b/flamingolug/node/_router.py
@@ -82,7 +82,7 @@
         found = self._needs.config.in_force
         if found is None:
             return calls.not_run(telemetry.Refusal.NO_MANIFEST, "entry")
-        if self._baseline is not None or (call.non_idempotent and call.key):
+        if self._baseline is not None or call.needs_owner():
             return None
         return _below.refuse_below(call, found, self._needs.loads)
 
@@ -94,7 +94,7 @@
         self._needs.members.use_service(call.service)
         if self._baseline is not None:
             return self._baseline.route(call)
-        if call.non_idempotent and call.key:
+        if call.needs_owner():
             outcome = self._needs.keyed.route(call, found)
         else:
             outcome = self._try_upstreams(call, found)
--- a/flamingolug/node/_upstream.py
+++ b/flamingolug/node/_upstream.py
@@ -128,7 +128,10 @@
         self._needs.members.update_own(service=announced.service)
 
     def withdraw(self) -> None:
-        """Takes no new work from now on; calls that wait are refused."""
+        """Takes no new work from now on; calls that wait still run.
+
+        Keyed calls come until another node owns their keys.
+        """
         if self.leaving or self.announced is None:
             return
         self.leaving = True
@@ -184,7 +187,7 @@
         """Runs a call, at most once for a keyed non-idempotent one."""
         if self._needs.cfg.control == "none":
             return self._run(call)
-        if not call.non_idempotent or not call.key:
+        if not call.needs_owner():
             return self._serve_counted(call)
         if not self.outcomes.knows(call.key):
             refused = self.owners.check(call)
@@ -218,10 +221,10 @@
         announced = self.announced
         if announced is None or announced.service != call.service:
             return calls.not_run(telemetry.Refusal.NO_UPSTREAM, "upstream", own)
-        if self.leaving and not (call.non_idempotent and call.key):
+        if self.leaving and not call.needs_owner():
             # Keyed calls come until another node owns their keys.
             return calls.not_run(telemetry.Refusal.LEAVING, "upstream", own)
-        if call.non_idempotent and call.key and call.depth == 0:
+        if call.needs_owner() and call.depth == 0:
             # Nothing was refused on the way to the owner of the key.
             refused = self._refuse_below(call)
             if refused is not None:
@@ -259,7 +262,7 @@
             return calls.not_run(
                 telemetry.Refusal.NO_RIGHT, "upstream", self._needs.cfg.name
             ), None
-        if call.non_idempotent and call.key:
+        if call.needs_owner():
             self.outcomes.note_dispatched(call.key)
         parent = self.in_flight.open(call)
         own_s: float | None = None
@@ -279,7 +282,7 @@
         This is looked at last, after every wait: the node may have been
         paused, and another one may own the key by now.
         """
-        if not call.non_idempotent or not call.key:
+        if not call.needs_owner():
             return False
         if self._needs.cfg.control == "none":
             return False
--- a/flamingolug_bench/control.py
+++ b/flamingolug_bench/control.py
@@ -214,7 +214,7 @@
 
 
 def _reverts(running: deployment.Deployment, expected: int) -> int:
-    """Offers every node an old revision; returns how many took it."""
+    """Offers nodes of each zone an old revision; returns how many took it."""
     found = make_manifest("old", ["s0"], 1)
     body = manifest.canonical_bytes(found)
     stored = configuration.encode(
--- a/flamingolug_bench/flood.py
+++ b/flamingolug_bench/flood.py
@@ -279,28 +279,13 @@
 
 
 def _set_slow(
-    service: str, factor: float
+    place: str, factor: float
 ) -> Callable[[deployment.Deployment], None]:
-    """Returns a function that changes the speed of a service."""
+    """Returns a function that changes the speed of a service or a zone."""
 
     def act(running: deployment.Deployment) -> None:
         for node in running.nodes:
-            if node.service == service:
-                running.backend_request(
-                    node.backend, "/-/slow", str(factor).encode()
-                )
-
-    return act
-
-
-def _set_zone_slow(
-    zone: str, factor: float
-) -> Callable[[deployment.Deployment], None]:
-    """Returns a function that changes the speed of a zone."""
-
-    def act(running: deployment.Deployment) -> None:
-        for node in running.nodes:
-            if node.zone == zone:
+            if place in (node.service, node.zone):
                 running.backend_request(
                     node.backend, "/-/slow", str(factor).encode()
                 )
@@ -376,8 +361,8 @@
     "zone-slow": Scene(
         QURAYYAT,
         {"browse-records": 100.0},
-        on_begin=_set_zone_slow("ghala", 10.0),
-        on_end=_set_zone_slow("ghala", 1.0),
+        on_begin=_set_slow("ghala", 10.0),
+        on_end=_set_slow("ghala", 1.0),
         untouched=("faultline", "billhall"),
     ),
     "combined": Scene(
--- a/flamingolug_bench/rolling.py
+++ b/flamingolug_bench/rolling.py
@@ -1,7 +1,7 @@
-"""Scene `rolling`: planned stops of nodes and backend servers under load.
+"""Scene `rolling`: planned stops of nodes under load.
 
-Every node of a service is stopped by SIGTERM and started again in turn, then
-every backend server leaves. Nothing may be interrupted.
+Every node of one service is stopped by SIGTERM and started again in turn.
+Nothing may be interrupted.
 """
 
 import signal
