--- a/flamingolug/errors.py
+++ b/flamingolug/errors.py
@@ -10,7 +10,9 @@
     "CodecError",
     "ConfigurationError",
     "FlamingolugError",
+    "HistoryLostError",
     "KernelError",
+    "LeaseLostError",
     "PeerLostError",
     "PeerUnreachableError",
     "RefusedError",
@@ -91,6 +93,14 @@
     """A compare-and-swap met another version than expected."""
 
 
+class HistoryLostError(StoreError):
+    """The changes since a revision are no longer known; list again."""
+
+
+class LeaseLostError(StoreError):
+    """The lease has ended; its keys are gone."""
+
+
 class RefusedError(FlamingolugError):
     """A call was refused before it ran; `reason` is a `Refusal`."""
 
--- /dev/null
+++ b/flamingolug/gateway/__init__.py
@@ -0,0 +1,33 @@
+"""The routed data path: callers, links between nodes, the upstream's gate."""
+
+from flamingolug.gateway._gate import UpstreamNames
+from flamingolug.gateway._model import Configuration
+from flamingolug.gateway._model import GatewaySettings
+from flamingolug.gateway._model import Limits
+from flamingolug.gateway._model import NodeIdentity
+from flamingolug.gateway._model import Report
+from flamingolug.gateway._model import RetryBounds
+from flamingolug.gateway._model import Route
+from flamingolug.gateway._model import Service
+from flamingolug.gateway._model import UpstreamState
+from flamingolug.gateway._program import Environment
+from flamingolug.gateway._program import run
+from flamingolug.gateway._request import CallerNames
+from flamingolug.gateway._service import ReportDecoder
+
+__all__ = [
+    "CallerNames",
+    "Configuration",
+    "Environment",
+    "GatewaySettings",
+    "Limits",
+    "NodeIdentity",
+    "Report",
+    "ReportDecoder",
+    "RetryBounds",
+    "Route",
+    "Service",
+    "UpstreamNames",
+    "UpstreamState",
+    "run",
+]
--- /dev/null
+++ b/flamingolug/gateway/_announcer.py
@@ -0,0 +1,168 @@
+"""Keeps the entry of this node's upstream in the store."""
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+from gevent import event
+
+from flamingolug import errors
+from flamingolug import store
+from flamingolug import telemetry
+from flamingolug import timing
+from flamingolug.gateway import _directory
+from flamingolug.gateway import _model
+from flamingolug.gateway import _retrying
+
+_LOGGER = logging.getLogger(__name__)
+#: Life of an entry after its node has fallen silent, seconds. Links notice
+#: sooner; this only clears what nobody talks to.
+LEASE_S = 8.0
+#: Seconds between renewals: two may be lost before the lease ends.
+RENEW_S = 2.5
+#: Life of the note that an upstream has left, seconds. A delayed report of it
+#: arrives within this time, also after a restart of the node.
+TOMBSTONE_S = 60.0
+
+
+class Needs(NamedTuple):
+    """What the announcer works with."""
+
+    cfg: _model.GatewaySettings
+    store: store.LeasedStore
+    timers: timing.Timers
+    #: What the backend server last reported, None for nothing.
+    report: Callable[[], _model.Report | None]
+
+
+class Announcer:
+    """Writes the upstream's entry when it changes and keeps its lease."""
+
+    def __init__(self, needs: Needs) -> None:
+        """Starts without an entry."""
+        self._needs = needs
+        self._wake = event.Event()
+        self._lease = 0
+        self._renewed_at = 0.0
+        self._written: _model.Upstream | None = None
+        self._stopped = False
+        self._published = event.Event()
+
+    def start(self) -> None:
+        """Begins to keep the entry."""
+        gevent.spawn(self._run)
+
+    def publish(self, wait_s: float = 0.0) -> bool:
+        """Writes the entry anew; returns whether it is written in time."""
+        self._published.clear()
+        self._wake.set()
+        if wait_s <= 0.0:
+            return False
+        return bool(self._published.wait(wait_s))
+
+    def on_removed(self, key: str) -> None:
+        """Writes the entry again when it has vanished."""
+        written = self._written
+        if written is not None and key == _directory.PREFIX + written.id:
+            self._written = None
+            self._wake.set()
+
+    def stop(self) -> None:
+        """Removes the entry, unless it tells that the upstream left."""
+        self._stopped = True
+        if not self._lease:
+            return
+        try:
+            self._needs.store.end_lease(self._lease)
+        except errors.StoreError as exc:
+            telemetry.failure(_LOGGER, "announcement.not_removed", exc)
+
+    def _desired(self) -> _model.Upstream | None:
+        report = self._needs.report()
+        if report is None:
+            return None
+        identity = self._needs.cfg.identity
+        return _model.Upstream(
+            report.id,
+            report.service,
+            identity.zone,
+            identity.host,
+            self._needs.cfg.link[1],
+            report.slots,
+            report.state,
+            report.born_ms,
+            report.sequence,
+        )
+
+    def _run(self) -> None:
+        backoff = _retrying.Backoff("announcement")
+        while not self._stopped:
+            self._wake.wait(RENEW_S)
+            self._wake.clear()
+            if self._stopped:
+                return
+            try:
+                self._keep()
+            except errors.LeaseLostError:
+                telemetry.event(
+                    _LOGGER,
+                    "lease.lost",
+                    lease=self._lease,
+                    age_s=round(self._needs.timers.now() - self._renewed_at, 2),
+                )
+                self._lease = 0
+                self._written = None
+                self._wake.set()
+            except errors.StoreConflictError as exc:
+                telemetry.failure(_LOGGER, "announcement.conflict", exc)
+                backoff.wait(exc)
+                self._wake.set()
+            except errors.StoreError as exc:
+                backoff.wait(exc)
+                self._wake.set()
+            else:
+                backoff.succeeded()
+
+    def _keep(self) -> None:
+        """Renews the lease when it is due and writes what has changed."""
+        desired = self._desired()
+        if desired is None:
+            return
+        now = self._needs.timers.now()
+        if not self._lease:
+            self._lease = self._needs.store.grant_lease(LEASE_S)
+            self._renewed_at = now
+        elif now - self._renewed_at > RENEW_S * 0.9:
+            self._needs.store.renew_lease(self._lease)
+            self._renewed_at = now
+        written = self._written
+        if written is None or written._replace(sequence=0) != desired._replace(
+            sequence=0
+        ):
+            self._write(desired)
+        self._published.set()
+
+    def _write(self, desired: _model.Upstream) -> None:
+        key = _directory.PREFIX + desired.id
+        value = _directory.encode_entry(desired)
+        page = self._needs.store.read(key)
+        revision = page.items[0].revision if page.items else 0
+        lease = self._lease
+        if desired.state is _model.UpstreamState.GONE:
+            lease = self._needs.store.grant_lease(TOMBSTONE_S)
+        deletes: list[str] = []
+        written = self._written
+        gone = _model.UpstreamState.GONE
+        replaced = written is not None and written.id != desired.id
+        if written is not None and replaced and written.state is not gone:
+            deletes.append(_directory.PREFIX + written.id)
+        self._needs.store.write(key, value, revision, lease, deletes)
+        self._written = desired
+        telemetry.event(
+            _LOGGER,
+            "announcement.written",
+            upstream=desired.id,
+            state=desired.state,
+            lease=lease,
+        )
--- /dev/null
+++ b/flamingolug/gateway/_directory.py
@@ -0,0 +1,226 @@
+"""All upstreams, as their nodes announce them in the store."""
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+import msgspec
+from gevent import event
+
+from flamingolug import errors
+from flamingolug import store
+from flamingolug import telemetry
+from flamingolug import timing
+from flamingolug.gateway import _model
+from flamingolug.gateway import _retrying
+
+_LOGGER = logging.getLogger(__name__)
+#: Keys of upstreams begin with this.
+PREFIX = "fl/upstreams/"
+#: Seconds that a watch waits for a change; just under the store's longest.
+WATCH_S = 28.0
+#: Seconds for which an upstream whose entry vanished is still used, so that
+#: entries which lapsed while the store was away can come back.
+LAPSE_GRACE_S = 2.0
+
+
+def encode_entry(upstream: _model.Upstream) -> bytes:
+    """Returns an upstream as it is stored."""
+    return msgspec.json.encode(upstream._asdict())
+
+
+def decode_entry(key: str, value: bytes) -> _model.Upstream | None:
+    """Returns a stored upstream, None when the entry is not one of ours."""
+    try:
+        found = msgspec.json.decode(value, type=_Stored).to_upstream()
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        telemetry.event(
+            _LOGGER,
+            "directory.unreadable",
+            level=logging.WARNING,
+            key=key,
+            error=exc,
+        )
+        return None
+    if key != PREFIX + found.id:
+        telemetry.event(
+            _LOGGER, "directory.foreign", level=logging.WARNING, key=key
+        )
+        return None
+    return found
+
+
+class _Stored(msgspec.Struct):
+    """An upstream as stored, checked field by field."""
+
+    id: str
+    service: str
+    zone: str
+    host: str
+    port: int
+    slots: int
+    state: _model.UpstreamState
+    born_ms: int
+    sequence: int
+
+    def to_upstream(self) -> _model.Upstream:
+        return _model.Upstream(*msgspec.structs.astuple(self))
+
+
+class Needs(NamedTuple):
+    """What the directory works with."""
+
+    store: store.LeasedStore
+    timers: timing.Timers
+    #: Whether an open link to an address has confirmed an upstream lately.
+    confirmed: Callable[[_model.Upstream], bool]
+    #: Called with the key when an entry vanishes.
+    on_removed: Callable[[str], None]
+
+
+class _Known:
+    """One entry and when it vanished."""
+
+    def __init__(self, upstream: _model.Upstream, revision: int) -> None:
+        """Creates an entry that is present."""
+        self.upstream = upstream
+        self.revision = revision
+        self.lapsed_at: float | None = None
+
+
+class Directory:
+    """Follows the entries of all upstreams."""
+
+    def __init__(self, needs: Needs) -> None:
+        """Starts empty."""
+        #: Set once all entries have been read.
+        self.synced = event.Event()
+        self._needs = needs
+        self._known: dict[str, _Known] = {}
+        self._services: dict[str, list[_Known]] = {}
+
+    def start(self) -> None:
+        """Begins to follow the store."""
+        gevent.spawn(self._follow)
+
+    def find(self, upstream_id: str) -> tuple[_model.Upstream, int] | None:
+        """Returns the entry of an upstream and its revision."""
+        known = self._known.get(PREFIX + upstream_id)
+        if known is None or known.lapsed_at is not None:
+            return None
+        return known.upstream, known.revision
+
+    def upstreams_of(self, service: str) -> list[_model.Upstream]:
+        """Returns the upstreams of a service that take work."""
+        found: list[_model.Upstream] = []
+        now = self._needs.timers.now()
+        for known in self._services.get(service, ()):
+            upstream = known.upstream
+            if upstream.state is not _model.UpstreamState.READY:
+                continue
+            if known.lapsed_at is not None:
+                recent = now - known.lapsed_at < LAPSE_GRACE_S
+                if not recent and not self._needs.confirmed(upstream):
+                    continue
+            found.append(upstream)
+        return found
+
+    def node_count(self) -> int:
+        """Returns how many nodes have an entry."""
+        return len({known.upstream.host for known in self._known.values()})
+
+    def apply(self, item: store.Item) -> None:
+        """Takes in one entry or its removal."""
+        known = self._known.get(item.key)
+        if known is not None and item.revision < known.revision:
+            return
+        if item.value is None:
+            self._remove(item.key)
+            return
+        upstream = decode_entry(item.key, item.value)
+        if upstream is None:
+            return
+        self._known[item.key] = _Known(upstream, item.revision)
+        self._index()
+        telemetry.event(
+            _LOGGER,
+            "directory.entry",
+            upstream=upstream.id,
+            service=upstream.service,
+            peer=f"{upstream.host}:{upstream.port}",
+            state=upstream.state,
+            revision=item.revision,
+        )
+
+    def _remove(self, key: str) -> None:
+        known = self._known.get(key)
+        self._needs.on_removed(key)
+        if known is None or known.lapsed_at is not None:
+            return
+        telemetry.event(
+            _LOGGER,
+            "directory.removed",
+            upstream=known.upstream.id,
+            state=known.upstream.state,
+            revision=known.revision,
+        )
+        if known.upstream.state is not _model.UpstreamState.READY:
+            del self._known[key]
+            self._index()
+            return
+        known.lapsed_at = self._needs.timers.now()
+
+    def _index(self) -> None:
+        services: dict[str, list[_Known]] = {}
+        for known in self._known.values():
+            services.setdefault(known.upstream.service, []).append(known)
+        self._services = services
+
+    def forget_lapsed(self) -> None:
+        """Drops entries that vanished and that no link confirms."""
+        now = self._needs.timers.now()
+        dropped = False
+        for key, known in list(self._known.items()):
+            if known.lapsed_at is None:
+                continue
+            if now - known.lapsed_at < LAPSE_GRACE_S:
+                continue
+            if self._needs.confirmed(known.upstream):
+                continue
+            del self._known[key]
+            dropped = True
+        if dropped:
+            self._index()
+
+    def _follow(self) -> None:
+        after = -1
+        backoff = _retrying.Backoff("directory")
+        while True:
+            try:
+                if after < 0:
+                    after = self._list()
+                page = self._needs.store.watch(PREFIX, after, WATCH_S)
+            except errors.HistoryLostError:
+                after = -1
+                continue
+            except errors.StoreError as exc:
+                backoff.wait(exc)
+                continue
+            backoff.succeeded()
+            after = max(after, page.as_of)
+            for item in page.items:
+                self.apply(item)
+            self.forget_lapsed()
+
+    def _list(self) -> int:
+        """Reads all entries; returns the revision to watch from."""
+        page = self._needs.store.list_prefix(PREFIX)
+        present = {item.key for item in page.items}
+        for item in page.items:
+            self.apply(item)
+        for key in list(self._known):
+            if key not in present:
+                self._remove(key)
+        self.synced.set()
+        return page.as_of
--- /dev/null
+++ b/flamingolug/gateway/_gate.py
@@ -0,0 +1,409 @@
+"""Last gate in front of the backend server beside this node.
+
+Whether a request runs is decided here and nowhere else: only this node
+reaches the backend server, and it knows first that it drains, has been
+replaced or is full.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+from gevent import event
+
+from flamingolug import errors
+from flamingolug import http1
+from flamingolug import telemetry
+from flamingolug import timing
+from flamingolug.gateway import _metrics
+from flamingolug.gateway import _model
+from flamingolug.gateway import _pool
+from flamingolug.gateway import _slots
+
+_LOGGER = logging.getLogger(__name__)
+#: Seconds between looks at calls that have waited too long.
+SWEEP_INTERVAL_S = 0.05
+#: Seconds between looks at idle connections.
+TRIM_INTERVAL_S = 1.0
+#: Seconds without a report after which the backend server counts as gone;
+#: three intervals of reports and the delay of one.
+SILENT_REPORTS = 3.5
+#: Largest response that is taken in, bytes.
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+#: Weight of a new sample in the share of failing calls.
+FAILING_SMOOTHING = 0.1
+#: Seconds for which a backend server that refuses connections gets no call.
+DOWN_S = 0.25
+
+#: Seconds that the backend server has to answer behind the deadline that it
+#: was given, so that its own answer is delivered.
+GRACE_BEHIND_DEADLINE_S = 0.1
+
+
+class _ExchangeTimeout(BaseException):
+    """The backend server has not answered in time."""
+
+
+class UpstreamNames(NamedTuple):
+    """Names of the headers between a node and a backend server."""
+
+    request_id: bytes
+    deadline: bytes
+    expected_instance: bytes
+    caller: bytes
+    #: Present on every answer that a backend server made itself.
+    seal: bytes
+    not_run: bytes
+    load: bytes
+
+
+class Needs(NamedTuple):
+    """What the gate works with."""
+
+    cfg: _model.GatewaySettings
+    names: UpstreamNames
+    timers: timing.Timers
+    metrics: _metrics.Metrics
+    #: Tells others that the upstream's state has changed.
+    announce: Callable[[], None]
+
+
+class Gate:
+    """Runs calls on the backend server beside this node."""
+
+    def __init__(self, needs: Needs) -> None:
+        """Starts without a backend server."""
+        self.report: _model.Report | None = None
+        self.leaving = False
+        self.slots = _slots.Slots(1, needs.timers.now)
+        self._needs = needs
+        self._now = needs.timers.now
+        self._pool = self._new_pool()
+        self._tickets: set[_slots.Ticket] = set()
+        self._reported_at = 0.0
+        self._down_until = 0.0
+        self._failing = 0.0
+        self._misdirected = ""
+        #: Upstreams that said they leave, with the wall time in milliseconds;
+        #: a run that began later is another one.
+        self._left: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Begins the periodic work."""
+        timers = self._needs.timers
+        timers.every(SWEEP_INTERVAL_S, self.slots_sweep)
+        timers.every(TRIM_INTERVAL_S, self._trim)
+
+    def slots_sweep(self) -> None:
+        """Refuses calls that have waited too long."""
+        self.slots.refuse_late()
+
+    @property
+    def upstream_id(self) -> str:
+        """Identity of the upstream that takes work now, empty for none."""
+        report = self.report
+        if report is None or self.leaving:
+            return ""
+        if report.state is not _model.UpstreamState.READY:
+            return ""
+        if report.id == self._misdirected:
+            return ""
+        return report.id
+
+    @property
+    def busy(self) -> bool:
+        """Whether any call runs or waits."""
+        return bool(self._tickets)
+
+    def take_report(self, report: _model.Report) -> bool:
+        """Takes in a report; returns whether the state has changed."""
+        known = self.report
+        if report.born_ms <= self._left.get(report.id, -1):
+            return False
+        if known is not None:
+            if report.born_ms < known.born_ms:
+                return False
+            same_run = (known.id, known.born_ms) == (report.id, report.born_ms)
+            if same_run and report.sequence <= known.sequence:
+                return False
+            left = _model.UpstreamState.GONE
+            if same_run and known.state is left and report.state is not left:
+                return False
+        self._reported_at = self._now()
+        self.report = report
+        changed = known is None or known._replace(
+            sequence=0, cold_s=0.0
+        ) != report._replace(sequence=0, cold_s=0.0)
+        if not changed:
+            return False
+        if known is None or (known.id, known.born_ms) != (
+            report.id,
+            report.born_ms,
+        ):
+            self._new_run(report)
+        if report.state is not _model.UpstreamState.READY:
+            self.slots.refuse_all()
+        telemetry.event(
+            _LOGGER,
+            "upstream.reported",
+            upstream=report.id,
+            state=report.state,
+            sequence=report.sequence,
+            slots=report.slots,
+        )
+        self._needs.announce()
+        return True
+
+    def take_leave(self, upstream_id: str) -> bool:
+        """Notes that an upstream has left; returns whether it was known."""
+        known = self.report
+        self._left[upstream_id] = int(self._needs.timers.wall() * 1000)
+        if known is None or known.id != upstream_id:
+            return False
+        if known.state is _model.UpstreamState.GONE:
+            return False
+        self.report = known._replace(state=_model.UpstreamState.GONE)
+        self.slots.refuse_all()
+        telemetry.event(_LOGGER, "upstream.left", upstream=upstream_id)
+        self._needs.announce()
+        return True
+
+    def leave(self) -> None:
+        """Takes no new work; what runs goes on."""
+        self.leaving = True
+        self.slots.refuse_all()
+        self._needs.announce()
+
+    def load(self) -> _model.LoadReport:
+        """Returns the load of the upstream."""
+        slots = self.slots
+        return _model.LoadReport(
+            slots.running,
+            slots.limit,
+            tuple(slots.waiting),
+            slots.hold_s,
+            self._failing,
+        )
+
+    def submit(
+        self, call: _model.Call, reply: Callable[[_model.Outcome], None]
+    ) -> _slots.Ticket:
+        """Offers a call; `reply` gets its outcome exactly once."""
+        ticket = _slots.Ticket(call)
+        gevent.spawn(self._serve, ticket, reply)
+        return ticket
+
+    def cancel(self, ticket: _slots.Ticket) -> None:
+        """Gives up a call that nobody waits for any more."""
+        ticket.cancelled = True
+        if ticket.waiting:
+            self.slots.cancel(ticket)
+            return
+        if ticket.running and ticket.call.idempotent:
+            ticket.stop()
+
+    def _serve(
+        self, ticket: _slots.Ticket, reply: Callable[[_model.Outcome], None]
+    ) -> None:
+        self._tickets.add(ticket)
+        try:
+            outcome = self._admit(ticket)
+        finally:
+            self._tickets.discard(ticket)
+        self._needs.metrics.count_outcome(outcome)
+        reply(outcome)
+
+    def _admit(self, ticket: _slots.Ticket) -> _model.Outcome:
+        refused = self._refuse(ticket)
+        if refused:
+            return _model.not_run(refused, self.load())
+        granted = self.slots.enter(ticket)
+        if granted is None:
+            done: event.AsyncResult[bool] = event.AsyncResult()
+            ticket.resolve = done.set
+            granted = done.get()
+        if not granted:
+            reason = "cancelled" if ticket.cancelled else "shed"
+            return _model.not_run(reason, self.load())
+        sample = False
+        try:
+            # The state may have changed while the call waited.
+            refused = self._refuse(ticket)
+            if refused:
+                return _model.not_run(refused, self.load())
+            outcome = self._run(ticket)
+            sample = outcome.response is not None
+        finally:
+            self.slots.leave(ticket, sample)
+        return outcome._replace(load=self.load())
+
+    def _refuse(self, ticket: _slots.Ticket) -> str:
+        """Returns why a call must not run now, empty if it may."""
+        if ticket.cancelled:
+            return "cancelled"
+        if self.leaving:
+            return "leaving"
+        if self.upstream_id != ticket.call.upstream_id:
+            return "not-here"
+        now = self._now()
+        if now < self._down_until:
+            return "down"
+        if now >= ticket.call.deadline:
+            return "deadline"
+        return ""
+
+    def _run(self, ticket: _slots.Ticket) -> _model.Outcome:
+        """Runs a call on the backend server."""
+        call = ticket.call
+        left_s = call.deadline - self._now()
+        try:
+            conn = self._pool.take(call.idempotent, left_s)
+        except errors.BackendError as exc:
+            self._down_until = self._now() + DOWN_S
+            telemetry.failure(_LOGGER, "upstream.unreachable", exc)
+            return _model.not_run("down")
+        left_s = call.deadline - self._now()
+        if left_s <= 0.0 or ticket.cancelled:
+            conn.close()
+            return _model.not_run("deadline")
+        ticket.stop = conn.close
+        timer = gevent.Timeout.start_new(
+            left_s + GRACE_BEHIND_DEADLINE_S, _ExchangeTimeout()
+        )
+        try:
+            response = self._exchange(conn, call, left_s)
+        except errors.BackendError as exc:
+            conn.close()
+            return self._lost(ticket, exc)
+        except _ExchangeTimeout:
+            conn.close()
+            return _model.unknown("timeout")
+        finally:
+            timer.close()
+        return self._judge(conn, call, response)
+
+    def _exchange(
+        self, conn: http1.Connection, call: _model.Call, left_s: float
+    ) -> http1.Response:
+        names = self._needs.names
+        headers = [
+            *call.headers,
+            (names.request_id, call.request_id.encode()),
+            (names.deadline, str(max(int(left_s * 1000), 1)).encode()),
+            (names.expected_instance, call.upstream_id.encode()),
+            (names.caller, call.caller.encode()),
+        ]
+        data = http1.format_request(
+            call.method, call.target, headers, call.body
+        )
+        head = call.method == b"HEAD"
+        reused = conn.exchanges > 0
+        response = _pool.exchange(conn, data, head, MAX_RESPONSE_BYTES)
+        own_id = call.request_id.encode()
+        while response.header(names.request_id) != own_id:
+            stated = response.header(names.request_id)
+            if not stated and response.header(names.not_run) and not reused:
+                return response._replace(reusable=False)
+            # An answer to an earlier request of this connection.
+            telemetry.event(
+                _LOGGER,
+                "upstream.foreign_answer",
+                level=logging.WARNING,
+                id=call.request_id,
+                stated=stated.decode("latin-1"),
+                status=response.status,
+            )
+            response = conn.receive(head, MAX_RESPONSE_BYTES)._replace(
+                reusable=False
+            )
+        return response
+
+    def _lost(
+        self, ticket: _slots.Ticket, exc: errors.BackendError
+    ) -> _model.Outcome:
+        """Returns the outcome of an exchange without a whole answer."""
+        if ticket.cancelled:
+            return _model.unknown("cancelled")
+        self._note_failure(True)
+        telemetry.event(
+            _LOGGER,
+            "upstream.lost",
+            level=logging.WARNING,
+            id=ticket.call.request_id,
+            upstream=ticket.call.upstream_id,
+            step=exc.step,
+            peer=exc.peer,
+            error=exc.message,
+        )
+        return _model.unknown("lost")
+
+    def _judge(
+        self,
+        conn: http1.Connection,
+        call: _model.Call,
+        response: http1.Response,
+    ) -> _model.Outcome:
+        """Returns the outcome of a call that was answered."""
+        names = self._needs.names
+        self._pool.give_back(conn, response)
+        if response.header(names.not_run):
+            self._note_failure(True)
+            if response.status == 421:
+                self._misdirected = call.upstream_id
+                self._needs.announce()
+                return _model.not_run("not-here", arrived=True)
+            return _model.not_run("upstream-refused", arrived=True)
+        if response.status == 421:
+            self._misdirected = call.upstream_id
+            self._needs.announce()
+            return _model.not_run("not-here", arrived=True)
+        sealed = bool(response.header(names.seal))
+        encoded = bool(response.header(b"content-encoding"))
+        if response.status < 300 and (not sealed or encoded):
+            self._note_failure(True)
+            return _model.unknown("not-its-answer")
+        self._note_failure(response.status >= 500)
+        return _model.Outcome(_model.Verdict.ANSWERED, "", response, None, True)
+
+    def _note_failure(self, failed: bool) -> None:
+        sample = 1.0 if failed else 0.0
+        self._failing += (sample - self._failing) * FAILING_SMOOTHING
+
+    def _new_run(self, report: _model.Report) -> None:
+        """Forgets what belonged to an earlier run of the backend server."""
+        self._pool.close()
+        self._pool = self._new_pool()
+        self._down_until = 0.0
+        self._failing = 0.0
+        self._misdirected = ""
+        self.slots.limit = max(report.slots, 1)
+
+    def _new_pool(self) -> _pool.Pool:
+        cfg = self._needs.cfg
+        return _pool.Pool(
+            cfg.app[0],
+            cfg.app[1],
+            cfg.identity.host,
+            self._now,
+            self._needs.metrics.count_connection,
+        )
+
+    def _trim(self) -> None:
+        """Closes idle connections; notes a backend server gone silent."""
+        self._pool.trim()
+        report = self.report
+        if report is None or report.state is _model.UpstreamState.GONE:
+            return
+        silent_s = self._now() - self._reported_at
+        if silent_s > SILENT_REPORTS * self._needs.cfg.report_interval_s:
+            telemetry.event(
+                _LOGGER,
+                "upstream.silent",
+                level=logging.WARNING,
+                upstream=report.id,
+                age_s=round(silent_s, 2),
+            )
+            self.report = None
+            self.slots.refuse_all()
+            self._needs.announce()
--- /dev/null
+++ b/flamingolug/gateway/_holder.py
@@ -0,0 +1,104 @@
+"""The configuration in force; it never goes back within one run."""
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+
+from flamingolug import errors
+from flamingolug import store
+from flamingolug import telemetry
+from flamingolug.gateway import _model
+from flamingolug.gateway import _retrying
+from flamingolug.gateway import _routes
+
+_LOGGER = logging.getLogger(__name__)
+#: Seconds that a watch waits for a change; just under the store's longest.
+WATCH_S = 28.0
+
+
+class InForce(NamedTuple):
+    """A configuration with its routes ready for lookup."""
+
+    cfg: _model.Configuration
+    table: _routes.RouteTable
+
+
+class Needs(NamedTuple):
+    """What the holder works with."""
+
+    store: store.LeasedStore
+    #: Key under which operators store the configuration.
+    key: str
+    #: Reads a stored document; raises ConfigurationError.
+    decode: Callable[[bytes], _model.Configuration]
+
+
+class Holder:
+    """Follows the configuration in the store and in other nodes."""
+
+    def __init__(self, needs: Needs) -> None:
+        """Starts without a configuration."""
+        self.in_force: InForce | None = None
+        #: Whether the store is being followed without a gap.
+        self.following = False
+        self._needs = needs
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 for none."""
+        return self.in_force.cfg.version if self.in_force else 0
+
+    def document(self) -> bytes | None:
+        """Returns the stored document in force."""
+        return self.in_force.cfg.document if self.in_force else None
+
+    def offer(self, document: bytes, source: str) -> None:
+        """Takes a configuration into force if it is newer."""
+        try:
+            cfg = self._needs.decode(document)
+        except errors.ConfigurationError as exc:
+            telemetry.failure(_LOGGER, "configuration.unreadable", exc)
+            return
+        if cfg.version <= self.version:
+            return
+        before = self.version
+        self.in_force = InForce(cfg, _routes.RouteTable(cfg))
+        telemetry.event(
+            _LOGGER,
+            "configuration.in_force",
+            version=cfg.version,
+            before=before,
+            source=source,
+            routes=len(cfg.routes),
+        )
+
+    def start(self) -> None:
+        """Begins to follow the store."""
+        gevent.spawn(self._follow)
+
+    def _follow(self) -> None:
+        after = -1
+        backoff = _retrying.Backoff("configuration")
+        while True:
+            try:
+                if after < 0:
+                    page = self._needs.store.read(self._needs.key)
+                else:
+                    page = self._needs.store.watch(
+                        self._needs.key, after, WATCH_S
+                    )
+            except errors.HistoryLostError:
+                after = -1
+                continue
+            except errors.StoreError as exc:
+                self.following = False
+                backoff.wait(exc)
+                continue
+            backoff.succeeded()
+            self.following = True
+            after = max(page.as_of, after)
+            for item in page.items:
+                if item.key == self._needs.key and item.value is not None:
+                    self.offer(item.value, "store")
--- /dev/null
+++ b/flamingolug/gateway/_link.py
@@ -0,0 +1,406 @@
+"""Links between nodes: one connection and one task for each peer.
+
+The entry of a node opens a link to the node beside an upstream when the first
+call goes there. Calls and results of all requests share the link.
+"""
+
+import logging
+import socket
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+import msgspec
+from gevent import event
+from gevent import socket as gevent_socket
+from gevent import timeout as gevent_timeout
+
+from flamingolug import errors
+from flamingolug import http1
+from flamingolug import telemetry
+from flamingolug import timing
+from flamingolug.gateway import _frames
+from flamingolug.gateway import _metrics
+from flamingolug.gateway import _model
+
+_LOGGER = logging.getLogger(__name__)
+_READ_BYTES = 262144
+#: Seconds to open a link; four round trips between the farthest zones and
+#: some waiting for the processor on both sides.
+CONNECT_TIMEOUT_S = 0.6
+#: Seconds between looks at the links.
+CHECK_INTERVAL_S = 0.25
+#: Seconds without a sign of life before a link with pending calls is probed.
+QUIET_S = 0.5
+#: Seconds without a sign of life after which such a link counts as lost.
+SILENT_S = 1.75
+#: Seconds between probes of a link without pending calls.
+IDLE_PROBE_S = 2.0
+#: Seconds after which such a link counts as lost.
+IDLE_SILENT_S = 4.5
+#: Seconds without a call after which a link is closed.
+MAX_IDLE_S = 30.0
+#: Bytes that may wait for a peer that does not read.
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+#: Seconds after which a link to an unreachable peer is tried again.
+RECONNECT_AFTER_S = 0.5
+#: Shortest time between two requests for a newer configuration, seconds.
+REQUEST_INTERVAL_S = 0.5
+
+
+def to_load(frame: _frames.LoadFrame) -> _model.LoadReport:
+    """Returns the load that a frame tells."""
+    return _model.LoadReport(
+        frame.running,
+        frame.limit,
+        tuple(frame.waiting),
+        frame.hold_ms / 1000.0,
+        frame.failing / 100.0,
+    )
+
+
+def from_load(load: _model.LoadReport) -> _frames.LoadFrame:
+    """Returns a load as a frame."""
+    return _frames.LoadFrame(
+        load.running,
+        load.limit,
+        list(load.waiting),
+        int(load.hold_s * 1000),
+        int(load.failing * 100),
+    )
+
+
+class Needs(NamedTuple):
+    """What links work with."""
+
+    cfg: _model.GatewaySettings
+    timers: timing.Timers
+    metrics: _metrics.Metrics
+    #: Version of the configuration in force, 0 for none.
+    version: Callable[[], int]
+    #: The configuration document in force, None for none.
+    document: Callable[[], bytes | None]
+    #: Takes in a configuration document from a peer.
+    on_document: Callable[[bytes], None]
+    #: Takes in the state of the upstream beside a peer: address, upstream
+    #: taking work, load.
+    on_status: Callable[[tuple[str, int], str, _model.LoadReport], None]
+
+
+class Wire:
+    """One connection: a task writes, the caller's task reads."""
+
+    def __init__(self, sock: gevent_socket.socket, peer: str) -> None:
+        """Takes over a connected socket and starts the writing task."""
+        self.peer = peer
+        self.closed = False
+        self._sock = sock
+        self._buffer: list[bytes] = []
+        self._buffered = 0
+        self._wake = event.Event()
+        gevent.spawn(self._write)
+
+    def send(self, frame: _frames.Frame) -> bool:
+        """Queues a frame; returns whether the link took it."""
+        if self.closed:
+            return False
+        data = _frames.encode(frame)
+        if self._buffered + len(data) > MAX_BUFFERED_BYTES and self._buffered:
+            self.close()
+            return False
+        self._buffer.append(data)
+        self._buffered += len(data)
+        self._wake.set()
+        return True
+
+    def receive(self) -> bytes:
+        """Returns the next bytes, empty when the link has ended."""
+        try:
+            return bytes(self._sock.recv(_READ_BYTES))
+        except (OSError, ValueError):
+            # The reason is told by whoever watches the link.
+            return b""
+
+    def close(self) -> None:
+        """Ends the link."""
+        if self.closed:
+            return
+        self.closed = True
+        self._wake.set()
+        self._sock.close()
+
+    def _write(self) -> None:
+        while not self.closed:
+            self._wake.wait()
+            self._wake.clear()
+            data = b"".join(self._buffer)
+            self._buffer.clear()
+            if not data or self.closed:
+                continue
+            try:
+                self._sock.sendall(data)
+            except (OSError, ValueError) as exc:
+                telemetry.event(
+                    _LOGGER, "link.write_failed", peer=self.peer, error=exc
+                )
+                self.close()
+            self._buffered = sum(map(len, self._buffer))
+
+
+class Pending:
+    """A call that waits for its result."""
+
+    def __init__(self, number: int) -> None:
+        """Creates a call without a result."""
+        self.number = number
+        self.result: event.AsyncResult[_model.Outcome] = event.AsyncResult()
+
+
+class Link:
+    """The calling side of a link to one peer."""
+
+    def __init__(self, address: tuple[str, int], needs: Needs) -> None:
+        """Creates a link that is not connected yet."""
+        self.address = address
+        self.peer = f"{address[0]}:{address[1]}"
+        self.pending: dict[int, Pending] = {}
+        self.lost = False
+        now = needs.timers.now()
+        self.heard_at = now
+        self.used_at = now
+        self.probed_at = 0.0
+        self._needs = needs
+        self._wire: Wire | None = None
+        self._numbers = 0
+        self._connected = event.Event()
+        gevent.spawn(self._run)
+
+    def wait_connected(self, timeout_s: float) -> bool:
+        """Returns whether the link is usable within the time given."""
+        if not self._connected.is_set():
+            self._connected.wait(timeout_s)
+        return self._wire is not None and not self.lost
+
+    def call(self, call: _model.Call) -> Pending:
+        """Sends a call.
+
+        Raises:
+            PeerUnreachableError: the call was never handed to the peer.
+        """
+        now = self._needs.timers.now()
+        self.used_at = now
+        if not self.pending:
+            # Silence counts from the first call that waits for an answer.
+            self.heard_at = max(self.heard_at, now)
+        self._numbers += 1
+        pending = Pending(self._numbers)
+        frame = _frames.CallFrame(
+            pending.number,
+            call.request_id,
+            call.upstream_id,
+            call.caller,
+            call.method,
+            call.target,
+            call.headers,
+            call.body,
+            int((call.deadline - now) * 1000),
+            max(int((call.wait_until - now) * 1000), 0),
+            call.rank,
+            call.nested,
+            call.idempotent,
+        )
+        if self._wire is None or not self._wire.send(frame):
+            raise errors.PeerUnreachableError(
+                "no link", step="link.call", peer=self.peer
+            )
+        self.pending[pending.number] = pending
+        return pending
+
+    def cancel(self, pending: Pending) -> None:
+        """Tells the peer that nobody waits for a call any more."""
+        if self.pending.pop(pending.number, None) is None:
+            return
+        if self._wire is not None:
+            self._wire.send(_frames.CancelFrame(pending.number))
+
+    def check(self) -> None:
+        """Probes a quiet link; gives up a silent one."""
+        if self._wire is None or self.lost:
+            return
+        now = self._needs.timers.now()
+        quiet_s = now - self.heard_at
+        busy = bool(self.pending)
+        silent_s = SILENT_S if busy else IDLE_SILENT_S
+        if quiet_s > silent_s and self.probed_at > self.heard_at:
+            self.fail("silent")
+            return
+        if not busy and now - self.used_at > MAX_IDLE_S:
+            self.fail("idle")
+            return
+        probe_after_s = QUIET_S if busy else IDLE_PROBE_S
+        if quiet_s > probe_after_s and now - self.probed_at > probe_after_s:
+            self.probed_at = now
+            self._wire.send(_frames.Ping(self._needs.version()))
+
+    def fail(self, reason: str) -> None:
+        """Ends the link; what was sent on it may have run."""
+        if self.lost:
+            return
+        self.lost = True
+        self._connected.set()
+        if self._wire is not None:
+            self._wire.close()
+        pending, self.pending = self.pending, {}
+        if reason != "idle":
+            self._needs.metrics.counters.add(_metrics.LINKS_LOST, reason)
+            telemetry.event(
+                _LOGGER,
+                "link.lost",
+                level=logging.WARNING,
+                peer=self.peer,
+                reason=reason,
+                pending=len(pending),
+                quiet_s=round(self._needs.timers.now() - self.heard_at, 3),
+            )
+        for each in pending.values():
+            each.result.set(_model.unknown("link-lost"))
+
+    def _run(self) -> None:
+        sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            http1.set_socket_options(sock)
+            with gevent_timeout.Timeout(
+                CONNECT_TIMEOUT_S, TimeoutError("connect")
+            ):
+                sock.connect(self.address)
+        except (OSError, TimeoutError) as exc:
+            sock.close()
+            telemetry.event(
+                _LOGGER,
+                "link.unreachable",
+                level=logging.WARNING,
+                peer=self.peer,
+                error=exc,
+            )
+            self.fail("unreachable")
+            return
+        self.heard_at = self._needs.timers.now()
+        self._wire = Wire(sock, self.peer)
+        identity = self._needs.cfg.identity
+        self._wire.send(
+            _frames.Hello(identity.name, identity.zone, self._needs.version())
+        )
+        self._connected.set()
+        self._read(self._wire)
+        self.fail("closed")
+
+    def _read(self, wire: Wire) -> None:
+        reader = _frames.FrameReader()
+        while not self.lost:
+            data = wire.receive()
+            if not data:
+                return
+            self.heard_at = self._needs.timers.now()
+            try:
+                frames = reader.feed(data)
+            except msgspec.DecodeError as exc:
+                telemetry.event(
+                    _LOGGER, "link.unreadable", peer=self.peer, error=exc
+                )
+                return
+            for frame in frames:
+                self._take(wire, frame)
+
+    def _take(self, wire: Wire, frame: _frames.Frame) -> None:
+        if isinstance(frame, _frames.ResultFrame):
+            pending = self.pending.pop(frame.number, None)
+            if pending is not None:
+                pending.result.set(_to_outcome(frame))
+            return
+        if isinstance(frame, _frames.Status):
+            self._needs.on_status(
+                self.address, frame.upstream_id, to_load(frame.load)
+            )
+        take_common(wire, frame, self._needs)
+
+
+def take_common(wire: Wire, frame: _frames.Frame, needs: Needs) -> None:
+    """Handles what both sides of a link may send."""
+    if isinstance(frame, _frames.Hello | _frames.Ping | _frames.Status):
+        if frame.version > needs.version():
+            wire.send(_frames.ConfigurationRequest())
+        return
+    if isinstance(frame, _frames.ConfigurationRequest):
+        document = needs.document()
+        if document is not None:
+            wire.send(_frames.ConfigurationFrame(document))
+        return
+    if isinstance(frame, _frames.ConfigurationFrame):
+        needs.on_document(frame.document)
+
+
+def _to_outcome(frame: _frames.ResultFrame) -> _model.Outcome:
+    verdict = _model.Verdict(frame.verdict)
+    response = None
+    if verdict is _model.Verdict.ANSWERED:
+        response = http1.Response(frame.status, frame.headers, frame.body, True)
+    load = to_load(frame.load) if frame.load is not None else None
+    return _model.Outcome(verdict, frame.reason, response, load, frame.arrived)
+
+
+class Links:
+    """All links that this node has opened."""
+
+    def __init__(self, needs: Needs) -> None:
+        """Starts without links."""
+        self._needs = needs
+        self._links: dict[tuple[str, int], Link] = {}
+        self._failed_at: dict[tuple[str, int], float] = {}
+
+    def start(self) -> None:
+        """Begins to look after the links."""
+        self._needs.timers.every(CHECK_INTERVAL_S, self._check)
+
+    def link_to(self, address: tuple[str, int], wait_s: float) -> Link:
+        """Returns a usable link to a peer.
+
+        Raises:
+            PeerUnreachableError: there is none; nothing was sent.
+        """
+        link = self._links.get(address)
+        if link is None or link.lost:
+            failed_at = self._failed_at.get(address)
+            now = self._needs.timers.now()
+            if failed_at is not None and now - failed_at < RECONNECT_AFTER_S:
+                raise errors.PeerUnreachableError(
+                    "unreachable a moment ago",
+                    step="link.open",
+                    peer=f"{address[0]}:{address[1]}",
+                )
+            link = Link(address, self._needs)
+            self._links[address] = link
+        if not link.wait_connected(min(wait_s, CONNECT_TIMEOUT_S)):
+            self._failed_at[address] = self._needs.timers.now()
+            raise errors.PeerUnreachableError(
+                "no connection", step="link.open", peer=link.peer
+            )
+        self._failed_at.pop(address, None)
+        return link
+
+    def is_live(self, address: tuple[str, int]) -> bool:
+        """Returns whether an open link to a peer has shown life lately."""
+        link = self._links.get(address)
+        if link is None or link.lost:
+            return False
+        return self._needs.timers.now() - link.heard_at < IDLE_SILENT_S
+
+    def close(self) -> None:
+        """Ends all links."""
+        for link in list(self._links.values()):
+            link.fail("idle")
+
+    def _check(self) -> None:
+        for address, link in list(self._links.items()):
+            link.check()
+            if link.lost and self._links.get(address) is link:
+                del self._links[address]
--- /dev/null
+++ b/flamingolug/gateway/_peer_server.py
@@ -0,0 +1,173 @@
+"""The called side of links: hands calls of other nodes to the gate."""
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+import msgspec
+from gevent import socket as gevent_socket
+
+from flamingolug import http1
+from flamingolug import telemetry
+from flamingolug.gateway import _frames
+from flamingolug.gateway import _gate
+from flamingolug.gateway import _link
+from flamingolug.gateway import _model
+from flamingolug.gateway import _slots
+
+_LOGGER = logging.getLogger(__name__)
+#: Headers that the calling side knows or has no use for.
+_NOT_SENT_BACK = frozenset((b"content-length", b"date", b"server"))
+
+
+class Needs(NamedTuple):
+    """What the server works with."""
+
+    links: _link.Needs
+    gate: _gate.Gate
+
+
+class PeerServer:
+    """Accepts links of other nodes."""
+
+    def __init__(self, needs: Needs) -> None:
+        """Starts without links."""
+        self._needs = needs
+        self._wires: set[_link.Wire] = set()
+        self._announce_due = False
+
+    def serve(self, sock: gevent_socket.socket, peer: tuple[str, int]) -> None:
+        """Serves one link until it ends."""
+        http1.set_socket_options(sock)
+        wire = _link.Wire(sock, f"{peer[0]}:{peer[1]}")
+        identity = self._needs.links.cfg.identity
+        wire.send(
+            _frames.Hello(
+                identity.name, identity.zone, self._needs.links.version()
+            )
+        )
+        self._wires.add(wire)
+        wire.send(self._status())
+        tickets: dict[int, _slots.Ticket] = {}
+        try:
+            self._read(wire, tickets)
+        finally:
+            self._wires.discard(wire)
+            wire.close()
+            for ticket in list(tickets.values()):
+                self._needs.gate.cancel(ticket)
+
+    def announce(self) -> None:
+        """Tells every linked node the state of the upstream, soon."""
+        if self._announce_due:
+            return
+        self._announce_due = True
+        gevent.spawn(self._announce)
+
+    def _announce(self) -> None:
+        self._announce_due = False
+        status = self._status()
+        for wire in list(self._wires):
+            wire.send(status)
+
+    def _status(self) -> _frames.Status:
+        gate = self._needs.gate
+        return _frames.Status(
+            self._needs.links.version(),
+            gate.upstream_id,
+            _link.from_load(gate.load()),
+        )
+
+    def _read(
+        self, wire: _link.Wire, tickets: dict[int, _slots.Ticket]
+    ) -> None:
+        reader = _frames.FrameReader()
+        while True:
+            data = wire.receive()
+            if not data:
+                return
+            try:
+                frames = reader.feed(data)
+            except msgspec.DecodeError as exc:
+                telemetry.event(
+                    _LOGGER,
+                    "link.unreadable",
+                    level=logging.WARNING,
+                    peer=wire.peer,
+                    error=exc,
+                )
+                return
+            for frame in frames:
+                self._take(wire, tickets, frame)
+
+    def _take(
+        self,
+        wire: _link.Wire,
+        tickets: dict[int, _slots.Ticket],
+        frame: _frames.Frame,
+    ) -> None:
+        if isinstance(frame, _frames.CallFrame):
+            reply = self._replier(wire, tickets, frame)
+            call = self._to_call(frame)
+            tickets[frame.number] = self._needs.gate.submit(call, reply)
+            return
+        if isinstance(frame, _frames.CancelFrame):
+            ticket = tickets.pop(frame.number, None)
+            if ticket is not None:
+                self._needs.gate.cancel(ticket)
+            return
+        if isinstance(frame, _frames.Ping):
+            wire.send(self._status())
+        _link.take_common(wire, frame, self._needs.links)
+
+    def _to_call(self, frame: _frames.CallFrame) -> _model.Call:
+        now = self._needs.links.timers.now()
+        return _model.Call(
+            request_id=frame.request_id,
+            upstream_id=frame.upstream_id,
+            caller=frame.caller,
+            method=frame.method,
+            target=frame.target,
+            headers=frame.headers,
+            body=frame.body,
+            deadline=now + frame.left_ms / 1000.0,
+            wait_until=now + frame.wait_ms / 1000.0,
+            rank=frame.rank,
+            nested=frame.nested,
+            idempotent=frame.idempotent,
+        )
+
+    def _replier(
+        self,
+        wire: _link.Wire,
+        tickets: dict[int, _slots.Ticket],
+        frame: _frames.CallFrame,
+    ) -> Callable[[_model.Outcome], None]:
+        def reply(outcome: _model.Outcome) -> None:
+            if tickets.pop(frame.number, None) is None:
+                return
+            load = outcome.load
+            response = outcome.response
+            result = _frames.ResultFrame(
+                frame.number,
+                outcome.verdict.value,
+                outcome.reason,
+                outcome.arrived,
+                _link.from_load(load) if load is not None else None,
+            )
+            if response is not None:
+                headers = [
+                    pair
+                    for pair in http1.end_to_end(response.headers)
+                    if pair[0] not in _NOT_SENT_BACK
+                ]
+                result = msgspec.structs.replace(
+                    result,
+                    status=response.status,
+                    headers=headers,
+                    body=response.body,
+                )
+            wire.send(result)
+
+        return reply
--- /dev/null
+++ b/flamingolug/gateway/_request.py
@@ -0,0 +1,394 @@
+"""The life of one request, from its head to its answer."""
+
+import logging
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from gevent import timeout as gevent_timeout
+
+from flamingolug import errors
+from flamingolug import http1
+from flamingolug import telemetry
+from flamingolug import timing
+from flamingolug.gateway import _budget
+from flamingolug.gateway import _holder
+from flamingolug.gateway import _metrics
+from flamingolug.gateway import _model
+from flamingolug.gateway import _throttle
+from flamingolug.gateway import _upstreams
+
+_LOGGER = logging.getLogger(__name__)
+#: Part of the latency target that a fresh request may wait for a slot; the
+#: rest is left to the work itself and to another try of the caller.
+WAIT_SHARE_OF_TARGET = 0.25
+#: Part of the time left that a fresh request may wait for a slot.
+WAIT_SHARE_OF_LEFT = 0.33
+#: Upstreams that a request is offered to when each refuses it unrun.
+MAX_OFFERS = 3
+#: Seconds behind the deadline within which an answer still counts as on its
+#: way: the upstream answers at its deadline, and the answer travels.
+LATE_ANSWER_S = 0.12
+#: Shortest time for which another attempt is worth while, seconds.
+MIN_ATTEMPT_S = 0.02
+#: A caller honours a delay of up to a third of the time that it has left;
+#: returns are spread over that time.
+RETRY_AFTER_FIRST_SHARE = 0.08
+RETRY_AFTER_LAST_SHARE = 0.32
+#: Delay told by a node that knows no configuration yet, seconds.
+RETRY_AFTER_START_S = 0.5
+#: Time a caller waits when it states none, seconds.
+DEFAULT_DEADLINE_S = 30.0
+
+
+class Answer(NamedTuple):
+    """What a caller is told."""
+
+    status: int
+    headers: http1.Headers
+    body: bytes
+
+
+class CallerNames(NamedTuple):
+    """Names of the headers between a caller and a node."""
+
+    request_id: bytes
+    deadline: bytes
+    #: Headers that are set on the way and never taken from a caller.
+    replaced: frozenset[bytes]
+    #: Headers of an upstream that are meant for the node alone.
+    internal: frozenset[bytes]
+
+
+class Exchange:
+    """One request in progress."""
+
+    def __init__(
+        self, req: http1.Request, nested: bool, started_at: float
+    ) -> None:
+        """Creates an exchange that has not been routed yet."""
+        self.request = req
+        self.nested = nested
+        self.started_at = started_at
+        self.cancelled = False
+        self.offers = 0
+        #: Attempts that reached an upstream, or may have.
+        self.arrivals = 0
+        #: Whether an attempt ended without its outcome being known.
+        self.doubtful = False
+        self.stop: Callable[[], None] = _do_nothing
+
+    def cancel(self) -> None:
+        """Notes that the caller has gone."""
+        if not self.cancelled:
+            self.cancelled = True
+            self.stop()
+
+
+def _do_nothing() -> None:
+    pass
+
+
+class _Task(NamedTuple):
+    """What is fixed once the route of a request is known."""
+
+    request_id: str
+    route: _model.Route
+    service: str
+    headers: http1.Headers
+    deadline: float
+    #: When the caller's own deadline is reached.
+    caller_deadline: float
+
+
+class Needs(NamedTuple):
+    """What a handler works with."""
+
+    cfg: _model.GatewaySettings
+    names: CallerNames
+    holder: _holder.Holder
+    upstreams: _upstreams.Upstreams
+    timers: timing.Timers
+    metrics: _metrics.Metrics
+    rng: random.Random
+    node_count: Callable[[], int]
+
+
+class Handler:
+    """Serves requests, one call of `handle` for each."""
+
+    def __init__(self, needs: Needs) -> None:
+        """Starts without a history."""
+        #: Whether the node is stopping.
+        self.leaving = False
+        self._needs = needs
+        self._now = needs.timers.now
+        self._budgets: dict[str, _budget.RetryBudget] = {}
+        self._throttles: dict[str, _throttle.Throttle] = {}
+
+    def handle(self, exchange: Exchange) -> Answer:
+        """Returns the answer to a request."""
+        force = self._needs.holder.in_force
+        names = self._needs.names
+        request_id = exchange.request.header(names.request_id).decode("latin-1")
+        if force is None:
+            return self._refuse_early(request_id, 503, "no-configuration")
+        if not request_id:
+            return self._refuse_early(request_id, 400, "no-request-id")
+        route = force.table.find(
+            exchange.request.header(b"host"), exchange.request.target
+        )
+        if route is None:
+            if not self._needs.holder.following:
+                # A route may have come that this node has not heard of.
+                return self._refuse_early(request_id, 503, "route-unknown")
+            return self._refuse_early(request_id, 404, "no-route")
+        task = self._make_task(exchange, request_id, force, route)
+        answer = self._serve(exchange, task)
+        took_s = self._now() - exchange.started_at
+        self._needs.metrics.observe(answer.status, route.rank, took_s)
+        return answer
+
+    def _make_task(
+        self,
+        exchange: Exchange,
+        request_id: str,
+        force: _holder.InForce,
+        route: _model.Route,
+    ) -> _Task:
+        names = self._needs.names
+        stated = exchange.request.header(names.deadline)
+        allowed_s = (
+            int(stated) / 1000.0 if stated.isdigit() else (DEFAULT_DEADLINE_S)
+        )
+        headers = [
+            pair
+            for pair in http1.end_to_end(exchange.request.headers)
+            if pair[0] not in names.replaced
+        ]
+        return _Task(
+            request_id,
+            route,
+            force.table.choose_service(route),
+            headers,
+            exchange.started_at + min(allowed_s, route.timeout_s),
+            exchange.started_at + allowed_s,
+        )
+
+    def _serve(self, exchange: Exchange, task: _Task) -> Answer:
+        """Offers the request until there is an answer to give."""
+        throttle = self._throttle(task)
+        if not exchange.nested and throttle.refuse(self._needs.rng):
+            return self._refuse(exchange, task, "throttled")
+        self._budget(task.service).note_first()
+        kept: http1.Response | None = None
+        tried: set[str] = set()
+        reason = "no-upstream"
+        while not exchange.cancelled:
+            left_s = task.deadline - self._now()
+            if left_s < MIN_ATTEMPT_S:
+                reason = "deadline"
+                break
+            upstream = self._needs.upstreams.choose(
+                task.service, task.route.rank, frozenset(tried)
+            )
+            if upstream is None:
+                break
+            tried.add(upstream.id)
+            outcome = self._attempt(exchange, task, upstream)
+            reason = outcome.reason
+            if outcome.verdict is _model.Verdict.ANSWERED:
+                assert outcome.response is not None
+                kept = outcome.response
+                if kept.status < 500:
+                    break
+            if outcome.verdict is _model.Verdict.UNKNOWN:
+                exchange.doubtful = True
+            if not self._may_retry(exchange, task, outcome):
+                break
+        throttle.note(kept is not None and kept.status < 500)
+        if kept is not None:
+            return self._deliver(kept)
+        if exchange.doubtful:
+            return self._fail(exchange, task, reason)
+        return self._refuse(exchange, task, reason)
+
+    def _attempt(
+        self, exchange: Exchange, task: _Task, upstream: _model.Upstream
+    ) -> _model.Outcome:
+        """Sends the request to one upstream and waits for its outcome."""
+        now = self._now()
+        route = task.route
+        wait_until = task.deadline
+        if not exchange.nested:
+            wait_until = min(
+                now + WAIT_SHARE_OF_TARGET * route.target_latency_s,
+                now + WAIT_SHARE_OF_LEFT * (task.deadline - now),
+            )
+        call = _model.Call(
+            request_id=task.request_id,
+            upstream_id=upstream.id,
+            caller=self._needs.cfg.identity.service,
+            method=exchange.request.method,
+            target=exchange.request.target,
+            headers=task.headers,
+            body=exchange.request.body,
+            deadline=task.deadline,
+            wait_until=wait_until,
+            rank=route.rank,
+            nested=exchange.nested,
+            idempotent=route.idempotent,
+        )
+        exchange.offers += 1
+        try:
+            sent = self._needs.upstreams.send(upstream, call)
+        except errors.PeerUnreachableError as exc:
+            telemetry.event(
+                _LOGGER,
+                "request.not_sent",
+                id=task.request_id,
+                step=exc.step,
+                peer=exc.peer,
+                error=exc.message,
+            )
+            return _model.not_run("unreachable")
+        exchange.stop = sent.abandon
+        if exchange.cancelled:
+            sent.abandon()
+        outcome = self._await(sent, task)
+        if outcome.arrived:
+            exchange.arrivals += 1
+        return outcome
+
+    def _await(self, sent: _upstreams.Sent, task: _Task) -> _model.Outcome:
+        left_s = max(task.deadline - self._now(), 0.0)
+        try:
+            outcome = sent.result.get(timeout=left_s + LATE_ANSWER_S)
+            assert outcome is not None
+        except gevent_timeout.Timeout:
+            sent.abandon()
+            return _model.unknown("timeout")
+        sent.done(outcome)
+        return outcome
+
+    def _may_retry(
+        self, exchange: Exchange, task: _Task, outcome: _model.Outcome
+    ) -> bool:
+        """Returns whether the request is offered once more."""
+        route = task.route
+        not_run = outcome.verdict is _model.Verdict.NOT_RUN
+        if exchange.cancelled or exchange.offers >= MAX_OFFERS:
+            return False
+        if not not_run and not route.idempotent:
+            return False
+        needed_s = MIN_ATTEMPT_S
+        if not not_run:
+            needed_s = self._needs.upstreams.typical_s(task.service)
+        if task.deadline - self._now() < needed_s:
+            return False
+        if outcome.arrived or not not_run:
+            if exchange.arrivals >= route.max_attempts:
+                return False
+            budget = self._budget(task.service)
+            if not budget.try_spend(self._needs.node_count()):
+                return False
+        reason = outcome.reason or "upstream-failed"
+        self._needs.metrics.counters.add(_metrics.RETRIES, reason)
+        return True
+
+    def _deliver(self, response: http1.Response) -> Answer:
+        """Returns an upstream's own answer."""
+        internal = self._needs.names.internal
+        headers = [
+            pair
+            for pair in http1.end_to_end(response.headers)
+            if pair[0] not in internal
+        ]
+        return Answer(response.status, headers, response.body)
+
+    def _fail(self, exchange: Exchange, task: _Task, reason: str) -> Answer:
+        """Returns the answer to a request that may have run."""
+        status = 504 if reason in ("timeout", "deadline") else 502
+        self._log("request.failed", exchange, task, status, reason)
+        return self._own(status, task.request_id, reason, 0.0)
+
+    def _refuse(self, exchange: Exchange, task: _Task, reason: str) -> Answer:
+        """Returns the answer to a request that has not run and never will."""
+        reason = reason or "upstream-failed"
+        self._needs.metrics.counters.add(
+            _metrics.REFUSALS, reason, str(task.route.rank)
+        )
+        left_s = max(task.caller_deadline - self._now(), 0.0)
+        share = self._needs.rng.uniform(
+            RETRY_AFTER_FIRST_SHARE, RETRY_AFTER_LAST_SHARE
+        )
+        self._log("request.refused", exchange, task, 503, reason)
+        return self._own(503, task.request_id, reason, share * left_s)
+
+    def _refuse_early(
+        self, request_id: str, status: int, reason: str
+    ) -> Answer:
+        """Returns the answer to a request that has no route."""
+        self._needs.metrics.counters.add(_metrics.REFUSALS, reason, "")
+        telemetry.event(
+            _LOGGER,
+            "request.unroutable",
+            id=request_id,
+            status=status,
+            reason=reason,
+            version=self._needs.holder.version,
+        )
+        delay_s = RETRY_AFTER_START_S if status == 503 else 0.0
+        return self._own(status, request_id, reason, delay_s)
+
+    def _own(
+        self, status: int, request_id: str, reason: str, delay_s: float
+    ) -> Answer:
+        """Returns an answer that this node makes itself."""
+        headers: http1.Headers = [(b"content-type", b"text/plain")]
+        if request_id:
+            headers.append((self._needs.names.request_id, request_id.encode()))
+        if status in (429, 503):
+            headers.append((b"retry-after", f"{delay_s:.3f}".encode()))
+        return Answer(status, headers, f"{reason}\n".encode())
+
+    def _log(
+        self,
+        name: str,
+        exchange: Exchange,
+        task: _Task,
+        status: int,
+        reason: str,
+    ) -> None:
+        telemetry.event(
+            _LOGGER,
+            name,
+            id=task.request_id,
+            status=status,
+            reason=reason,
+            route=task.route.name,
+            rank=task.route.rank,
+            service=task.service,
+            nested=exchange.nested,
+            offers=exchange.offers,
+            arrivals=exchange.arrivals,
+            took_s=round(self._now() - exchange.started_at, 4),
+            left_s=round(task.caller_deadline - self._now(), 4),
+            version=self._needs.holder.version,
+            cancelled=exchange.cancelled,
+        )
+
+    def _budget(self, service: str) -> _budget.RetryBudget:
+        found = self._budgets.get(service)
+        if found is None:
+            found = _budget.RetryBudget(self._needs.cfg.retries, self._now)
+            self._budgets[service] = found
+        return found
+
+    def _throttle(self, task: _Task) -> _throttle.Throttle:
+        key = f"{task.route.name}/{task.service}"
+        found = self._throttles.get(key)
+        if found is None:
+            found = _throttle.Throttle(self._now)
+            self._throttles[key] = found
+        return found
--- /dev/null
+++ b/flamingolug/gateway/_service.py
@@ -0,0 +1,178 @@
+"""The small HTTP interfaces: readiness, reports of the upstream, metrics."""
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+from gevent import socket as gevent_socket
+
+from flamingolug import http1
+from flamingolug import telemetry
+from flamingolug.gateway import _announcer
+from flamingolug.gateway import _directory
+from flamingolug.gateway import _gate
+from flamingolug.gateway import _holder
+from flamingolug.gateway import _metrics
+from flamingolug.gateway import _model
+
+_LOGGER = logging.getLogger(__name__)
+_READ_BYTES = 16384
+_LIMITS = http1.MessageLimits(16384, 65536)
+#: Seconds that the acknowledgement of a leave waits until others can read of
+#: it; well under the second after which the report counts as failed.
+PUBLISH_WAIT_S = 0.4
+#: Seconds that a first report waits for the entries of earlier runs.
+SYNC_WAIT_S = 0.5
+
+#: Takes method, target and body; returns status, headers and body.
+Handle = Callable[[http1.Request], tuple[int, http1.Headers, bytes]]
+
+
+def serve_http(
+    sock: gevent_socket.socket, peer: tuple[str, int], handle: Handle
+) -> None:
+    """Serves one connection, one request after the other."""
+    reader = http1.RequestReader(_LIMITS)
+    try:
+        http1.set_socket_options(sock)
+        while True:
+            data = sock.recv(_READ_BYTES)
+            if not data:
+                return
+            reader.feed(data)
+            while reader.ready:
+                req = reader.ready.popleft()
+                status, headers, body = handle(req)
+                sock.sendall(
+                    http1.format_response(
+                        status, headers, body, not req.keep_alive
+                    )
+                )
+                if not req.keep_alive:
+                    return
+            if reader.status:
+                sock.sendall(
+                    http1.format_response(reader.status, [], b"", True)
+                )
+                return
+    except OSError as exc:
+        telemetry.event(
+            _LOGGER,
+            "service.connection_lost",
+            level=logging.DEBUG,
+            peer=f"{peer[0]}:{peer[1]}",
+            error=exc,
+        )
+    finally:
+        sock.close()
+
+
+class ReportDecoder(NamedTuple):
+    """Reads what a backend server sends."""
+
+    #: Returns the report in a request, None when it is not a report.
+    report: Callable[[http1.Request, str], _model.Report | None]
+    #: Returns the identity in a notice of leaving, None when it is none.
+    leave: Callable[[http1.Request], str | None]
+
+
+class Needs(NamedTuple):
+    """What the interfaces work with."""
+
+    cfg: _model.GatewaySettings
+    gate: _gate.Gate
+    holder: _holder.Holder
+    directory: _directory.Directory
+    announcer: _announcer.Announcer
+    metrics: _metrics.Metrics
+    decoder: ReportDecoder
+    ready_path: bytes
+    leaving: Callable[[], bool]
+
+
+class Service:
+    """Answers the small interfaces."""
+
+    def __init__(self, needs: Needs) -> None:
+        """Starts without state."""
+        self._needs = needs
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may send work here."""
+        needs = self._needs
+        return needs.holder.in_force is not None and not needs.leaving()
+
+    def answer_ready(
+        self, req: http1.Request
+    ) -> tuple[int, http1.Headers, bytes]:
+        """Answers whether the node takes work."""
+        if req.target.partition(b"?")[0] != self._needs.ready_path:
+            return 404, [], b""
+        return (200 if self.ready else 503), [], b""
+
+    def answer_metrics(
+        self, req: http1.Request
+    ) -> tuple[int, http1.Headers, bytes]:
+        """Answers with all counters."""
+        del req
+        return (
+            200,
+            [(b"content-type", b"text/plain; version=0.0.4")],
+            self._needs.metrics.render(),
+        )
+
+    def answer_report(
+        self, req: http1.Request
+    ) -> tuple[int, http1.Headers, bytes]:
+        """Takes in a report of the backend server beside this node."""
+        json = [(b"content-type", b"application/json")]
+        needs = self._needs
+        left = needs.decoder.leave(req)
+        if left is not None:
+            self._take_leave(left)
+            return 200, json, b"{}"
+        report = needs.decoder.report(req, needs.cfg.identity.service)
+        if report is None:
+            telemetry.event(
+                _LOGGER,
+                "report.unreadable",
+                level=logging.WARNING,
+                target=req.target.decode("latin-1"),
+            )
+            return 400, json, b"{}"
+        if needs.gate.report is None:
+            needs.directory.synced.wait(SYNC_WAIT_S)
+            if self._is_outdated(report):
+                telemetry.event(
+                    _LOGGER,
+                    "report.outdated",
+                    upstream=report.id,
+                    sequence=report.sequence,
+                )
+                return 200, json, b"{}"
+        if needs.gate.take_report(report):
+            leaving = report.state is not _model.UpstreamState.READY
+            self._publish(PUBLISH_WAIT_S if leaving else 0.0)
+        return 200, json, b"{}"
+
+    def _take_leave(self, upstream_id: str) -> None:
+        if self._needs.gate.take_leave(upstream_id):
+            self._publish(PUBLISH_WAIT_S)
+
+    def _publish(self, wait_s: float) -> None:
+        published = self._needs.announcer.publish(wait_s)
+        if wait_s and not published:
+            telemetry.event(_LOGGER, "announcement.late", wait_s=wait_s)
+
+    def _is_outdated(self, report: _model.Report) -> bool:
+        """Returns whether an earlier run of this node knew a later report."""
+        found = self._needs.directory.find(report.id)
+        if found is None:
+            return False
+        known = found[0]
+        if known.born_ms != report.born_ms:
+            return report.born_ms < known.born_ms
+        if report.sequence < known.sequence:
+            return True
+        return known.state is _model.UpstreamState.GONE
--- /dev/null
+++ b/flamingolug/gateway/_upstreams.py
@@ -0,0 +1,212 @@
+"""What this node knows of each upstream's load, and how to reach it."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from gevent import event
+
+from flamingolug import timing
+from flamingolug.gateway import _balance
+from flamingolug.gateway import _directory
+from flamingolug.gateway import _gate
+from flamingolug.gateway import _link
+from flamingolug.gateway import _model
+
+#: Seconds for which an upstream is passed over, by what it last refused with.
+SUSPENSIONS_S = {
+    "shed": 0.05,
+    "upstream-refused": 0.1,
+    "down": 0.5,
+    "not-here": 0.5,
+    "leaving": 3.0,
+    "unreachable": 0.5,
+    "link-lost": 1.0,
+    "lost": 0.1,
+}
+#: Weight of a new sample in the typical time of a service.
+TYPICAL_SMOOTHING = 0.05
+FIRST_TYPICAL_S = 0.2
+
+
+class Sent:
+    """A call on its way."""
+
+    def __init__(
+        self,
+        result: "event.AsyncResult[_model.Outcome]",
+        stop: Callable[[], None],
+        finish: Callable[[_model.Outcome | None], None],
+    ) -> None:
+        """Creates a call without an outcome."""
+        self.result = result
+        self._stop = stop
+        self._finish = finish
+        self._finished = False
+
+    def done(self, outcome: _model.Outcome) -> None:
+        """Notes the outcome."""
+        if not self._finished:
+            self._finished = True
+            self._finish(outcome)
+
+    def abandon(self) -> None:
+        """Gives the call up; it may still have run."""
+        if self._finished:
+            return
+        self._finished = True
+        self._finish(None)
+        self._stop()
+        if not self.result.ready():
+            self.result.set(_model.unknown("cancelled"))
+
+
+class _View:
+    """One upstream as this node sees it."""
+
+    def __init__(self) -> None:
+        """Creates a view without knowledge."""
+        self.load: _model.LoadReport | None = None
+        self.load_at = 0.0
+        self.outstanding = 0
+        self.sent_since = 0
+        self.suspended_until = 0.0
+
+
+class Needs(NamedTuple):
+    """What the choice of upstreams works with."""
+
+    cfg: _model.GatewaySettings
+    directory: _directory.Directory
+    gate: _gate.Gate
+    links: _link.Links
+    timers: timing.Timers
+    rng: random.Random
+
+
+class Upstreams:
+    """Chooses upstreams and sends calls to them."""
+
+    def __init__(self, needs: Needs) -> None:
+        """Starts without knowledge."""
+        self._needs = needs
+        self._now = needs.timers.now
+        self._views: dict[str, _View] = {}
+        self._typical: dict[str, float] = {}
+        #: Upstream that takes work beside the node at an address.
+        self._at_address: dict[tuple[str, int], str] = {}
+
+    def choose(
+        self, service: str, rank: int, tried: frozenset[str]
+    ) -> _model.Upstream | None:
+        """Returns the upstream for the next attempt, None without one."""
+        now = self._now()
+        zone = self._needs.cfg.identity.zone
+        candidates: list[_balance.Candidate] = []
+        for upstream in self._needs.directory.upstreams_of(service):
+            view = self._view(upstream.id)
+            candidates.append(
+                _balance.Candidate(
+                    upstream,
+                    upstream.zone == zone,
+                    view.outstanding,
+                    view.load,
+                    now - view.load_at,
+                    view.sent_since,
+                    now < view.suspended_until,
+                )
+            )
+        return _balance.choose(candidates, rank, tried, self._needs.rng)
+
+    def typical_s(self, service: str) -> float:
+        """Returns how long a call of a service takes."""
+        return self._typical.get(service, FIRST_TYPICAL_S)
+
+    def send(self, upstream: _model.Upstream, call: _model.Call) -> Sent:
+        """Sends a call to an upstream.
+
+        Raises:
+            PeerUnreachableError: the call was never handed over.
+        """
+        view = self._view(upstream.id)
+        began = self._now()
+
+        def finish(outcome: _model.Outcome | None) -> None:
+            view.outstanding -= 1
+            if outcome is not None:
+                self._learn(upstream, view, outcome, began)
+
+        cfg = self._needs.cfg
+        if (upstream.host, upstream.port) == cfg.link:
+            result: event.AsyncResult[_model.Outcome] = event.AsyncResult()
+            ticket = self._needs.gate.submit(call, result.set)
+            view.outstanding += 1
+            return Sent(result, lambda: self._needs.gate.cancel(ticket), finish)
+        address = (upstream.host, upstream.port)
+        try:
+            link = self._needs.links.link_to(
+                address, max(call.deadline - began, 0.0)
+            )
+            pending = link.call(call)
+        except Exception:
+            view.suspended_until = began + SUSPENSIONS_S["unreachable"]
+            raise
+        view.outstanding += 1
+        view.sent_since += 1
+        return Sent(pending.result, lambda: link.cancel(pending), finish)
+
+    def take_status(
+        self,
+        address: tuple[str, int],
+        upstream_id: str,
+        load: _model.LoadReport,
+    ) -> None:
+        """Takes in what a peer says of its upstream."""
+        before = self._at_address.get(address)
+        self._at_address[address] = upstream_id
+        now = self._now()
+        if before and before != upstream_id:
+            self._view(before).suspended_until = now + SUSPENSIONS_S["leaving"]
+        if upstream_id:
+            view = self._view(upstream_id)
+            view.load = load
+            view.load_at = now
+            view.sent_since = 0
+            view.suspended_until = 0.0
+
+    def confirms(self, upstream: _model.Upstream) -> bool:
+        """Returns whether an open link says that an upstream takes work."""
+        address = (upstream.host, upstream.port)
+        if address == self._needs.cfg.link:
+            return self._needs.gate.upstream_id == upstream.id
+        return self._at_address.get(
+            address
+        ) == upstream.id and self._needs.links.is_live(address)
+
+    def _learn(
+        self,
+        upstream: _model.Upstream,
+        view: _View,
+        outcome: _model.Outcome,
+        began: float,
+    ) -> None:
+        now = self._now()
+        if outcome.load is not None:
+            view.load = outcome.load
+            view.load_at = now
+            view.sent_since = 0
+        suspension_s = SUSPENSIONS_S.get(outcome.reason)
+        if suspension_s is not None:
+            view.suspended_until = now + suspension_s
+        if outcome.verdict is _model.Verdict.ANSWERED:
+            typical_s = self.typical_s(upstream.service)
+            self._typical[upstream.service] = (
+                typical_s + (now - began - typical_s) * TYPICAL_SMOOTHING
+            )
+
+    def _view(self, upstream_id: str) -> _View:
+        view = self._views.get(upstream_id)
+        if view is None:
+            view = _View()
+            self._views[upstream_id] = view
+        return view
--- /dev/null
+++ b/flamingolug/http1/__init__.py
@@ -0,0 +1,31 @@
+"""HTTP/1.1 messages over gevent sockets, for the path of every request."""
+
+from flamingolug.http1._client import Connection
+from flamingolug.http1._client import open_connection
+from flamingolug.http1._format import format_request
+from flamingolug.http1._format import format_response
+from flamingolug.http1._parse import end_to_end
+from flamingolug.http1._parse import Headers
+from flamingolug.http1._parse import MessageLimits
+from flamingolug.http1._parse import Request
+from flamingolug.http1._parse import RequestReader
+from flamingolug.http1._parse import Response
+from flamingolug.http1._parse import ResponseReader
+from flamingolug.http1._stream import listen
+from flamingolug.http1._stream import set_socket_options
+
+__all__ = [
+    "Connection",
+    "Headers",
+    "MessageLimits",
+    "Request",
+    "RequestReader",
+    "Response",
+    "ResponseReader",
+    "end_to_end",
+    "format_request",
+    "format_response",
+    "listen",
+    "open_connection",
+    "set_socket_options",
+]
--- /dev/null
+++ b/flamingolug/platform/__main__.py
@@ -0,0 +1,42 @@
+"""Runs a gateway on the platform: `python -m flamingolug.platform`."""
+
+import os
+import sys
+
+from flamingolug import errors
+from flamingolug import gateway
+from flamingolug import platform
+from flamingolug import telemetry
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> int:
+    """Reads the platform's settings and runs until it is told to stop."""
+    path = os.environ.get(platform.SETTINGS_VARIABLE, "")
+    telemetry.configure("info", "-")
+    try:
+        cfg = platform.load_settings(path)
+    except errors.ConfigurationError as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    telemetry.configure("info", cfg.identity.name)
+    return gateway.run(
+        gateway.Environment(
+            settings=cfg,
+            reload_settings=lambda: platform.load_settings(path),
+            make_store=platform.PlatformStore,
+            configuration_key=platform.CONFIGURATION_KEY,
+            decode_configuration=platform.decode_configuration,
+            report_decoder=gateway.ReportDecoder(
+                platform.decode_report, platform.decode_leave
+            ),
+            upstream_names=platform.UPSTREAM_NAMES,
+            caller_names=platform.CALLER_NAMES,
+            ready_path=platform.READY_PATH,
+        )
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/flamingolug/platform/_headers.py
@@ -0,0 +1,30 @@
+"""Names of the headers and paths that requests carry."""
+
+from flamingolug import gateway
+
+READY_PATH = b"/v1/ready"
+
+_REQUEST_ID = b"x-attempt-id"
+_DEADLINE = b"x-deadline-ms"
+_CALLER = b"x-caller-service"
+_EXPECTED = b"x-expected-instance"
+_LOAD = b"x-server-load"
+_INSTANCE = b"x-instance-id"
+_NOT_RUN = b"x-not-executed"
+
+UPSTREAM_NAMES = gateway.UpstreamNames(
+    request_id=_REQUEST_ID,
+    # What is left of it when the request is handed over.
+    deadline=_DEADLINE,
+    expected_instance=_EXPECTED,
+    caller=_CALLER,
+    seal=b"x-response-seal",
+    not_run=_NOT_RUN,
+    load=_LOAD,
+)
+CALLER_NAMES = gateway.CallerNames(
+    request_id=_REQUEST_ID,
+    deadline=_DEADLINE,
+    replaced=frozenset((_REQUEST_ID, _DEADLINE, _CALLER, _EXPECTED)),
+    internal=frozenset((_LOAD, _INSTANCE)),
+)
--- /dev/null
+++ b/flamingolug/platform/_store.py
@@ -0,0 +1,211 @@
+"""Client of the platform's metadata store."""
+
+import base64
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Any
+from urllib import parse
+
+import gevent
+import msgspec
+
+from flamingolug import errors
+from flamingolug import http1
+from flamingolug import store
+
+#: Seconds to open a connection; the store answers within milliseconds.
+CONNECT_TIMEOUT_S = 0.8
+#: Seconds to wait for an answer; a store slowed sixtyfold takes a quarter.
+CALL_TIMEOUT_S = 1.2
+#: Seconds that the answer to a watch may come later than asked for.
+WATCH_MARGIN_S = 2.0
+#: Idle connections kept for the next call.
+MAX_IDLE = 2
+_MAX_BYTES = 16 * 1024 * 1024
+_JSON = [(b"content-type", b"application/json")]
+
+
+class PlatformStore:
+    """Speaks HTTP with the store; see `LeasedStore` for what calls mean."""
+
+    def __init__(
+        self, address: tuple[str, int], count: Callable[[str], None]
+    ) -> None:
+        """Creates a client.
+
+        Args:
+            address: host and port of the store.
+            count: called with the operation's name for each call.
+        """
+        self._address = address
+        self._host = f"{address[0]}:{address[1]}".encode()
+        self._count = count
+        self._idle: list[http1.Connection] = []
+
+    def read(self, key: str) -> store.Page:
+        """See `LeasedStore.read`."""
+        # A range tells the store's revision also when the key is missing.
+        page = self.list_prefix(key)
+        items = [item for item in page.items if item.key == key]
+        return store.Page(items, page.as_of)
+
+    def list_prefix(self, prefix: str) -> store.Page:
+        """See `LeasedStore.list_prefix`."""
+        items: list[store.Item] = []
+        after = ""
+        as_of = -1
+        while True:
+            query = {"Prefix": prefix}
+            if after:
+                query["after"] = after
+            found = self._get("range", "/v1/kv-range", query)
+            # Later pages may miss changes to earlier ones: watch from the
+            # first page on.
+            if as_of < 0:
+                as_of = int(found["AsOf"])
+            page = [_to_item(each) for each in found["items"]]
+            items += page
+            if not found.get("HasMore") or not page:
+                return store.Page(items, as_of)
+            after = page[-1].key
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> store.Page:
+        """See `LeasedStore.watch`."""
+        query = {
+            "Prefix": prefix,
+            "after": str(after),
+            "WaitMs": str(int(wait_s * 1000)),
+        }
+        found = self._get(
+            "watch", "/v1/kv-watch", query, wait_s + WATCH_MARGIN_S
+        )
+        items = [_to_item(each) for each in found["events"]]
+        return store.Page(items, int(found["AsOf"]))
+
+    def write(
+        self,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+        lease: int,
+        deletes: Sequence[str] = (),
+    ) -> int:
+        """See `LeasedStore.write`."""
+        body = {
+            "ExpectedRev": [{"Key": key, "Revision": expected_revision}],
+            "Writes": [
+                {
+                    "Key": key,
+                    "Value": base64.b64encode(value).decode(),
+                    "Lease": lease,
+                }
+            ],
+            "Deletes": list(deletes),
+        }
+        found = self._post("txn", "/v1/kv-txn", body)
+        return int(found["Revision"])
+
+    def grant_lease(self, ttl_s: float) -> int:
+        """See `LeasedStore.grant_lease`."""
+        found = self._post(
+            "lease", "/v1/kv-lease", {"TtlMs": int(ttl_s * 1000)}
+        )
+        return int(found["Lease"])
+
+    def renew_lease(self, lease: int) -> None:
+        """See `LeasedStore.renew_lease`."""
+        self._post("keep", f"/v1/kv-keep/{lease}", {})
+
+    def end_lease(self, lease: int) -> None:
+        """See `LeasedStore.end_lease`."""
+        self._call("lease_end", b"DELETE", f"/v1/kv-lease-end/{lease}", b"")
+
+    def _get(
+        self,
+        operation: str,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Any:
+        target = f"{path}?{parse.urlencode(query, safe='/')}"
+        return self._call(operation, b"GET", target, b"", timeout_s)
+
+    def _post(self, operation: str, path: str, body: dict[str, Any]) -> Any:
+        return self._call(operation, b"POST", path, msgspec.json.encode(body))
+
+    def _call(
+        self,
+        operation: str,
+        method: bytes,
+        target: str,
+        body: bytes,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Any:
+        """Returns the decoded answer."""
+        self._count(operation)
+        step = f"store.{operation}"
+        peer = self._host.decode()
+        headers = [(b"host", self._host), *(_JSON if body else [])]
+        data = http1.format_request(method, target.encode(), headers, body)
+        conn: http1.Connection | None = None
+        try:
+            with gevent.Timeout(timeout_s):
+                conn = self._take()
+                conn.send(data)
+                response = conn.receive(False, _MAX_BYTES)
+        except (errors.BackendError, gevent.Timeout) as exc:
+            if conn is not None:
+                conn.close()
+            raise errors.StoreUnavailableError(
+                f"no answer: {exc}", step=step, peer=peer
+            ) from exc
+        except BaseException:
+            if conn is not None:
+                conn.close()
+            raise
+        if response.reusable and len(self._idle) < MAX_IDLE:
+            self._idle.append(conn)
+        else:
+            conn.close()
+        return _decode(response, operation, step, peer)
+
+    def _take(self) -> http1.Connection:
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.is_clean():
+                return conn
+            conn.close()
+        return http1.open_connection(
+            self._address[0], self._address[1], CONNECT_TIMEOUT_S
+        )
+
+
+def _decode(
+    response: http1.Response, operation: str, step: str, peer: str
+) -> Any:
+    status = response.status
+    if status == 410:
+        raise errors.HistoryLostError("history lost", step=step, peer=peer)
+    if status == 412:
+        raise errors.StoreConflictError(
+            "another revision", step=step, peer=peer
+        )
+    if status == 404 and operation in ("txn", "keep", "lease_end"):
+        raise errors.LeaseLostError("no such lease", step=step, peer=peer)
+    if status != 200:
+        raise errors.StoreUnavailableError(
+            f"status {status}", step=step, peer=peer
+        )
+    try:
+        return msgspec.json.decode(response.body or b"{}")
+    except msgspec.DecodeError as exc:
+        raise errors.StoreUnavailableError(
+            f"unreadable answer: {exc}", step=step, peer=peer
+        ) from exc
+
+
+def _to_item(found: dict[str, Any]) -> store.Item:
+    value: bytes | None = None
+    if not found.get("Deleted"):
+        value = base64.b64decode(found.get("Value", ""))
+    return store.Item(str(found["Key"]), value, int(found["Revision"]))
--- a/flamingolug/store/__init__.py
+++ b/flamingolug/store/__init__.py
@@ -1,7 +1,10 @@
-"""Narrow interface to the platform's key-value service."""
+"""The key-value service that holds what must last."""
 
 from flamingolug.store._http import HttpStore
 from flamingolug.store._interface import Entry
 from flamingolug.store._interface import Store
+from flamingolug.store._leased import Item
+from flamingolug.store._leased import LeasedStore
+from flamingolug.store._leased import Page
 
-__all__ = ["Entry", "HttpStore", "Store"]
+__all__ = ["Entry", "HttpStore", "Item", "LeasedStore", "Page", "Store"]
--- a/flamingolug/timing/_service.py
+++ b/flamingolug/timing/_service.py
@@ -51,8 +51,8 @@
         self._phase_s = random.random()
 
     def now(self) -> float:
-        """See `Timers.now`."""
-        return time.monotonic()
+        """See `Timers.now`; time in which the machine was suspended counts."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """See `Timers.wall`."""
