Own zone first by latency target; nested routes learned from callers' services

Ruled out: framing, since 15 MB is half of all bodies. A fresh upstream was never tried, as unknown load counted as slow. Change: cost in latency targets, zone by zone; unknown upstreams count as usual. Routes on which backend servers call are told from callers' routes by the services at which they begin (peer addresses are the same for both). Log lines are bounded by event and reason and never block.

--- a/flamingolug/gateway/_balance.py
+++ b/flamingolug/gateway/_balance.py
@@ -1,7 +1,8 @@
-"""Chooses the upstream at which a call is expected to finish first.
+"""Chooses the upstream that serves a call well at the least expense.
 
-Pattern: least expected latency, with a preference for the own availability
-zone that gives way once its upstreams are full.
+Pattern: locality-aware least expected latency. An upstream that is expected
+to answer well within the latency target is as good as any faster one, so the
+own availability zone is used until its upstreams are full or too slow.
 """
 
 import random
@@ -10,20 +11,26 @@
 
 from flamingolug.gateway import _model
 
-#: Seconds that a call to another availability zone must save: its round trip
-#: and the dearer bytes.
-ZONE_COST_S = 0.06
-#: Seconds added for a certainly failing upstream; scaled by its share.
-FAILING_COST_S = 1.0
-#: Part of the hold time added at full load, which spreads calls while there
-#: are free slots.
-FILL_SHARE = 0.3
+#: Part of the latency target that an expected latency may use freely: times
+#: of single calls spread to about twice the mean.
+FREE_SHARE_OF_TARGET = 0.5
+#: What an upstream in another availability zone costs, in latency targets:
+#: bytes between zones are dear.
+ZONE_COST = 0.2
+#: One way between availability zones, seconds.
+ZONE_DELAY_S = 0.005
+#: Cost of a certainly failing upstream; smaller by the square of its share.
+FAILING_COST = 4.0
+#: Cost at full load, which spreads calls while there are free slots.
+FILL_COST = 0.1
+#: Load over the limit from which calls spill over to other zones.
+FULL_SHARE = 0.9
+#: Cost of a full upstream for each multiple of its limit beyond that share.
+OVERFULL_COST = 1.5
 #: Age in seconds at which a load report says nothing any more.
 REPORT_AGE_S = 2.0
-#: Hold time assumed of an upstream that nothing is known of, seconds.
-UNKNOWN_HOLD_S = 0.1
 #: Random part of a cost, so that equal upstreams share work.
-JITTER = 0.05
+JITTER = 0.02
 
 
 class Candidate(NamedTuple):
@@ -42,31 +49,61 @@
     suspended: bool
 
 
-def cost_s(candidate: Candidate, rank: int) -> float:
-    """Returns the expected time to an answer, seconds, with penalties."""
+class Work(NamedTuple):
+    """What is known of the call to be placed."""
+
+    rank: int
+    target_s: float
+    #: Time that calls of its kind usually take, seconds.
+    typical_s: float
+
+
+def mean_hold_s(candidates: Sequence[Candidate]) -> float:
+    """Returns the mean hold time of the upstreams that told theirs."""
+    total = 0.0
+    count = 0
+    for candidate in candidates:
+        if candidate.load is None:
+            continue
+        total += candidate.load.hold_s
+        count += 1
+    return max(total / count, 0.001) if count else 0.1
+
+
+def cost_of(candidate: Candidate, work: Work, mean_s: float) -> float:
+    """Returns the cost of an upstream, in latency targets.
+
+    Args:
+        candidate: the upstream.
+        work: the call.
+        mean_s: mean hold time over the service's upstreams.
+    """
     load = candidate.load
-    cost = 0.0 if candidate.own_zone else ZONE_COST_S
-    if load is None:
-        limit = max(candidate.upstream.slots, 1)
-        return cost + UNKNOWN_HOLD_S * (
-            1.0 + FILL_SHARE * candidate.outstanding / limit
-        )
-    limit = max(load.limit, 1)
-    trust = max(1.0 - candidate.age_s / REPORT_AGE_S, 0.0)
-    ahead = sum(load.waiting[: rank + 1]) if load.waiting else 0
-    busy = max(
-        (load.running + ahead) * trust + candidate.sent_since,
-        float(candidate.outstanding),
-    )
-    hold_s = max(load.hold_s, 0.001)
-    wait_s = max(busy + 1.0 - limit, 0.0) * hold_s / limit
-    fill_s = FILL_SHARE * hold_s * min(busy / limit, 1.0)
-    return cost + hold_s + wait_s + fill_s + FAILING_COST_S * load.failing**2
+    cost = 0.0 if candidate.own_zone else ZONE_COST
+    delay_s = 0.0 if candidate.own_zone else 2 * ZONE_DELAY_S
+    limit = max(candidate.upstream.slots, 1)
+    busy = float(candidate.outstanding)
+    # An upstream that nothing is known of is tried as if it were usual.
+    slowness = 1.0
+    if load is not None:
+        limit = max(load.limit, 1)
+        trust = max(1.0 - candidate.age_s / REPORT_AGE_S, 0.0)
+        ahead = sum(load.waiting[: work.rank + 1])
+        told = (load.running + ahead) * trust + candidate.sent_since
+        busy = max(told, busy)
+        slowness = load.hold_s / mean_s
+        cost += FAILING_COST * load.failing**2
+    wait_s = max(busy + 1.0 - limit, 0.0) * slowness * mean_s / limit
+    latency_s = work.typical_s * slowness + wait_s + delay_s
+    used = latency_s / max(work.target_s, 0.001)
+    cost += max(used - FREE_SHARE_OF_TARGET, 0.0)
+    cost += FILL_COST * min(busy / limit, 1.0) * min(slowness, 2.0)
+    return cost + OVERFULL_COST * max(busy / limit - FULL_SHARE, 0.0)
 
 
 def choose(
     candidates: Sequence[Candidate],
-    rank: int,
+    work: Work,
     tried: frozenset[str],
     rng: random.Random,
 ) -> _model.Upstream | None:
@@ -74,10 +111,11 @@
 
     Args:
         candidates: upstreams of the service that take work.
-        rank: urgency of the call.
+        work: the call.
         tried: identities that this request has been offered to.
         rng: source of the random part.
     """
+    mean_s = mean_hold_s(candidates)
     best: _model.Upstream | None = None
     best_cost = 0.0
     for allow_suspended in (False, True):
@@ -86,7 +124,7 @@
                 continue
             if candidate.suspended and not allow_suspended:
                 continue
-            cost = cost_s(candidate, rank) * (1.0 + JITTER * rng.random())
+            cost = cost_of(candidate, work, mean_s) + JITTER * rng.random()
             if best is None or cost < best_cost:
                 best = candidate.upstream
                 best_cost = cost
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from collections.abc import Collection
 from typing import NamedTuple
 
 import gevent
@@ -126,6 +127,10 @@
             found.append(upstream)
         return found
 
+    def services(self) -> Collection[str]:
+        """Returns all services that have an upstream."""
+        return self._services
+
     def node_count(self) -> int:
         """Returns how many nodes have an entry."""
         return len({known.upstream.host for known in self._known.values()})
--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -54,17 +54,8 @@
 class Caller:
     """One connection of a caller."""
 
-    def __init__(
-        self, sock: gevent_socket.socket, nested: bool, needs: Needs
-    ) -> None:
-        """Takes over an accepted connection.
-
-        Args:
-            sock: the connection.
-            nested: whether the backend server beside the node opened it.
-            needs: see `Needs`.
-        """
-        self.nested = nested
+    def __init__(self, sock: gevent_socket.socket, needs: Needs) -> None:
+        """Takes over an accepted connection."""
         self.closing = False
         self.active_at = needs.timers.now()
         self._needs = needs
@@ -132,7 +123,7 @@
         if slot.close:
             self.closing = True
         self._slots.append(slot)
-        exchange = _request.Exchange(req, self.nested, self.active_at)
+        exchange = _request.Exchange(req, self.active_at)
         slot.exchange = exchange
         gevent.spawn(self._serve, slot, exchange)
 
@@ -234,8 +225,8 @@
         except OSError:
             sock.close()
             return
-        nested = peer[0] in (self._needs.cfg.identity.host, "127.0.0.1")
-        caller = Caller(sock, nested, self._needs)
+        del peer
+        caller = Caller(sock, self._needs)
         self._callers.add(caller)
         try:
             caller.run()
--- a/flamingolug/gateway/_frames.py
+++ b/flamingolug/gateway/_frames.py
@@ -38,8 +38,8 @@
     #: Milliseconds that it may wait for a slot.
     wait_ms: int
     rank: int
-    nested: bool
     idempotent: bool
+    route: str
 
 
 class LoadFrame(msgspec.Struct, array_like=True, frozen=True):
@@ -61,6 +61,7 @@
     verdict: int
     reason: str
     arrived: bool
+    nested: bool
     load: LoadFrame | None
     status: int = 0
     headers: list[tuple[bytes, bytes]] = []
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -7,6 +7,7 @@
 
 import logging
 from collections.abc import Callable
+from collections.abc import Collection
 from typing import NamedTuple
 
 import gevent
@@ -16,6 +17,7 @@
 from flamingolug import http1
 from flamingolug import telemetry
 from flamingolug import timing
+from flamingolug.gateway import _caller_mix
 from flamingolug.gateway import _metrics
 from flamingolug.gateway import _model
 from flamingolug.gateway import _pool
@@ -55,7 +57,8 @@
     #: Present on every answer that a backend server made itself.
     seal: bytes
     not_run: bytes
-    load: bytes
+    #: Headers of an answer that callers don't get from the upstream.
+    internal: frozenset[bytes]
 
 
 class Needs(NamedTuple):
@@ -67,6 +70,8 @@
     metrics: _metrics.Metrics
     #: Tells others that the upstream's state has changed.
     announce: Callable[[], None]
+    #: Services that have an upstream.
+    services: Callable[[], Collection[str]]
 
 
 class Gate:
@@ -85,6 +90,7 @@
         self._down_until = 0.0
         self._failing = 0.0
         self._misdirected = ""
+        self._callers = _caller_mix.CallerMix()
         #: Upstreams that said they leave, with the wall time in milliseconds;
         #: a run that began later is another one.
         self._left: dict[str, int] = {}
@@ -190,7 +196,9 @@
         self, call: _model.Call, reply: Callable[[_model.Outcome], None]
     ) -> _slots.Ticket:
         """Offers a call; `reply` gets its outcome exactly once."""
-        ticket = _slots.Ticket(call)
+        self._callers.note(call.route, call.caller)
+        nested = self._callers.is_nested(call.route, self._needs.services())
+        ticket = _slots.Ticket(call, nested)
         gevent.spawn(self._serve, ticket, reply)
         return ticket
 
@@ -212,7 +220,7 @@
         finally:
             self._tickets.discard(ticket)
         self._needs.metrics.count_outcome(outcome)
-        reply(outcome)
+        reply(outcome._replace(nested=ticket.nested))
 
     def _admit(self, ticket: _slots.Ticket) -> _model.Outcome:
         refused = self._refuse(ticket)
@@ -364,6 +372,12 @@
             self._note_failure(True)
             return _model.unknown("not-its-answer")
         self._note_failure(response.status >= 500)
+        headers = [
+            pair
+            for pair in http1.end_to_end(response.headers)
+            if pair[0] not in names.internal
+        ]
+        response = response._replace(headers=headers)
         return _model.Outcome(_model.Verdict.ANSWERED, "", response, None, True)
 
     def _note_failure(self, failed: bool) -> None:
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -206,8 +206,8 @@
             int((call.deadline - now) * 1000),
             max(int((call.wait_until - now) * 1000), 0),
             call.rank,
-            call.nested,
             call.idempotent,
+            call.route,
         )
         if self._wire is None or not self._wire.send(frame):
             raise errors.PeerUnreachableError(
@@ -345,7 +345,9 @@
     if verdict is _model.Verdict.ANSWERED:
         response = http1.Response(frame.status, frame.headers, frame.body, True)
     load = to_load(frame.load) if frame.load is not None else None
-    return _model.Outcome(verdict, frame.reason, response, load, frame.arrived)
+    return _model.Outcome(
+        verdict, frame.reason, response, load, frame.arrived, frame.nested
+    )
 
 
 class Links:
--- a/flamingolug/gateway/_model.py
+++ b/flamingolug/gateway/_model.py
@@ -110,9 +110,9 @@
     #: Clock reading until which it may wait for a slot.
     wait_until: float
     rank: int
-    #: Whether a running request of a backend server waits for it.
-    nested: bool
     idempotent: bool
+    #: Name of the route.
+    route: str
 
 
 class Verdict(enum.Enum):
@@ -148,6 +148,8 @@
     load: LoadReport | None = None
     #: Whether bytes of the request reached the upstream.
     arrived: bool = False
+    #: Whether running requests of backend servers wait for calls like this.
+    nested: bool = False
 
 
 def not_run(
--- a/flamingolug/gateway/_peer_server.py
+++ b/flamingolug/gateway/_peer_server.py
@@ -17,8 +17,6 @@
 from flamingolug.gateway import _slots
 
 _LOGGER = logging.getLogger(__name__)
-#: Headers that the calling side knows or has no use for.
-_NOT_SENT_BACK = frozenset((b"content-length", b"date", b"server"))
 
 
 class Needs(NamedTuple):
@@ -134,8 +132,8 @@
             deadline=now + frame.left_ms / 1000.0,
             wait_until=now + frame.wait_ms / 1000.0,
             rank=frame.rank,
-            nested=frame.nested,
             idempotent=frame.idempotent,
+            route=frame.route,
         )
 
     def _replier(
@@ -154,18 +152,14 @@
                 outcome.verdict.value,
                 outcome.reason,
                 outcome.arrived,
+                outcome.nested,
                 _link.from_load(load) if load is not None else None,
             )
             if response is not None:
-                headers = [
-                    pair
-                    for pair in http1.end_to_end(response.headers)
-                    if pair[0] not in _NOT_SENT_BACK
-                ]
                 result = msgspec.structs.replace(
                     result,
                     status=response.status,
-                    headers=headers,
+                    headers=response.headers,
                     body=response.body,
                 )
             wire.send(result)
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -100,6 +100,9 @@
             lambda: built.get(
                 "gateway.peer-server", _peer_server.PeerServer
             ).announce(),
+            lambda: built.get(
+                "gateway.directory", _directory.Directory
+            ).services(),
         )
     )
 
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -56,19 +56,14 @@
     deadline: bytes
     #: Headers that are set on the way and never taken from a caller.
     replaced: frozenset[bytes]
-    #: Headers of an upstream that are meant for the node alone.
-    internal: frozenset[bytes]
 
 
 class Exchange:
     """One request in progress."""
 
-    def __init__(
-        self, req: http1.Request, nested: bool, started_at: float
-    ) -> None:
+    def __init__(self, req: http1.Request, started_at: float) -> None:
         """Creates an exchange that has not been routed yet."""
         self.request = req
-        self.nested = nested
         self.started_at = started_at
         self.cancelled = False
         self.offers = 0
@@ -125,6 +120,8 @@
         self._now = needs.timers.now
         self._budgets: dict[str, _budget.RetryBudget] = {}
         self._throttles: dict[str, _throttle.Throttle] = {}
+        #: Routes on which backend servers call, as their gates tell.
+        self._nested: set[str] = set()
 
     def handle(self, exchange: Exchange) -> Answer:
         """Returns the answer to a request."""
@@ -178,7 +175,8 @@
     def _serve(self, exchange: Exchange, task: _Task) -> Answer:
         """Offers the request until there is an answer to give."""
         throttle = self._throttle(task)
-        if not exchange.nested and throttle.refuse(self._needs.rng):
+        nested = task.route.name in self._nested
+        if not nested and throttle.refuse(self._needs.rng):
             return self._refuse(exchange, task, "throttled")
         self._budget(task.service).note_first()
         kept: http1.Response | None = None
@@ -190,7 +188,7 @@
                 reason = "deadline"
                 break
             upstream = self._needs.upstreams.choose(
-                task.service, task.route.rank, frozenset(tried)
+                task.service, task.route, frozenset(tried)
             )
             if upstream is None:
                 break
@@ -208,7 +206,7 @@
                 break
         throttle.note(kept is not None and kept.status < 500)
         if kept is not None:
-            return self._deliver(kept)
+            return self._deliver(task, kept)
         if exchange.doubtful:
             return self._fail(exchange, task, reason)
         return self._refuse(exchange, task, reason)
@@ -220,7 +218,7 @@
         now = self._now()
         route = task.route
         wait_until = task.deadline
-        if not exchange.nested:
+        if route.name not in self._nested:
             wait_until = min(
                 now + WAIT_SHARE_OF_TARGET * route.target_latency_s,
                 now + WAIT_SHARE_OF_LEFT * (task.deadline - now),
@@ -236,12 +234,12 @@
             deadline=task.deadline,
             wait_until=wait_until,
             rank=route.rank,
-            nested=exchange.nested,
             idempotent=route.idempotent,
+            route=route.name,
         )
         exchange.offers += 1
         try:
-            sent = self._needs.upstreams.send(upstream, call)
+            sent = self._needs.upstreams.send(upstream, route, call)
         except errors.PeerUnreachableError as exc:
             telemetry.event(
                 _LOGGER,
@@ -269,6 +267,11 @@
             sent.abandon()
             return _model.unknown("timeout")
         sent.done(outcome)
+        if outcome.nested:
+            self._nested.add(task.route.name)
+        elif outcome.load is not None:
+            # Only a gate can tell.
+            self._nested.discard(task.route.name)
         return outcome
 
     def _may_retry(
@@ -283,7 +286,7 @@
             return False
         needed_s = MIN_ATTEMPT_S
         if not not_run:
-            needed_s = self._needs.upstreams.typical_s(task.service)
+            needed_s = self._needs.upstreams.typical_s(route)
         if task.deadline - self._now() < needed_s:
             return False
         if outcome.arrived or not not_run:
@@ -296,15 +299,12 @@
         self._needs.metrics.counters.add(_metrics.RETRIES, reason)
         return True
 
-    def _deliver(self, response: http1.Response) -> Answer:
+    def _deliver(self, task: _Task, response: http1.Response) -> Answer:
         """Returns an upstream's own answer."""
-        internal = self._needs.names.internal
-        headers = [
-            pair
-            for pair in http1.end_to_end(response.headers)
-            if pair[0] not in internal
-        ]
-        return Answer(response.status, headers, response.body)
+        own_id = (self._needs.names.request_id, task.request_id.encode())
+        return Answer(
+            response.status, [*response.headers, own_id], response.body
+        )
 
     def _fail(self, exchange: Exchange, task: _Task, reason: str) -> Answer:
         """Returns the answer to a request that may have run."""
@@ -369,7 +369,7 @@
             route=task.route.name,
             rank=task.route.rank,
             service=task.service,
-            nested=exchange.nested,
+            nested=task.route.name in self._nested,
             offers=exchange.offers,
             arrivals=exchange.arrivals,
             took_s=round(self._now() - exchange.started_at, 4),
--- a/flamingolug/gateway/_slots.py
+++ b/flamingolug/gateway/_slots.py
@@ -27,9 +27,16 @@
 class Ticket:
     """One call at the gate."""
 
-    def __init__(self, call: _model.Call) -> None:
-        """Creates a ticket that is neither waiting nor running."""
+    def __init__(self, call: _model.Call, nested: bool = False) -> None:
+        """Creates a ticket that is neither waiting nor running.
+
+        Args:
+            call: the call.
+            nested: whether a running request of a backend server waits for
+                it.
+        """
         self.call = call
+        self.nested = nested
         self.waiting = False
         self.running = False
         self.cancelled = False
@@ -80,7 +87,7 @@
         if self.running < self.limit and not self._queue:
             self._start(ticket, now)
             return True
-        wait_s = self.expected_wait_s(call.rank, call.nested)
+        wait_s = self.expected_wait_s(call.rank, ticket.nested)
         latest = min(
             call.wait_until, call.deadline - self.hold_s * MIN_USEFUL_SHARE
         )
@@ -88,7 +95,7 @@
             return False
         ticket.waiting = True
         self.waiting[min(call.rank, REPORTED_RANKS - 1)] += 1
-        key = (call.rank, 0 if call.nested else 1, next(self._sequence))
+        key = (call.rank, 0 if ticket.nested else 1, next(self._sequence))
         heapq.heappush(self._queue, _Queued(key, ticket))
         return None
 
--- a/flamingolug/gateway/_upstreams.py
+++ b/flamingolug/gateway/_upstreams.py
@@ -24,7 +24,7 @@
     "link-lost": 1.0,
     "lost": 0.1,
 }
-#: Weight of a new sample in the typical time of a service.
+#: Weight of a new sample in the typical time of a route.
 TYPICAL_SMOOTHING = 0.05
 FIRST_TYPICAL_S = 0.2
 
@@ -97,7 +97,7 @@
         self._at_address: dict[tuple[str, int], str] = {}
 
     def choose(
-        self, service: str, rank: int, tried: frozenset[str]
+        self, service: str, route: _model.Route, tried: frozenset[str]
     ) -> _model.Upstream | None:
         """Returns the upstream for the next attempt, None without one."""
         now = self._now()
@@ -116,13 +116,21 @@
                     now < view.suspended_until,
                 )
             )
-        return _balance.choose(candidates, rank, tried, self._needs.rng)
+        work = _balance.Work(
+            route.rank, route.target_latency_s, self.typical_s(route)
+        )
+        return _balance.choose(candidates, work, tried, self._needs.rng)
 
-    def typical_s(self, service: str) -> float:
-        """Returns how long a call of a service takes."""
-        return self._typical.get(service, FIRST_TYPICAL_S)
+    def typical_s(self, route: _model.Route) -> float:
+        """Returns how long a call of a route takes."""
+        return self._typical.get(route.name, FIRST_TYPICAL_S)
 
-    def send(self, upstream: _model.Upstream, call: _model.Call) -> Sent:
+    def send(
+        self,
+        upstream: _model.Upstream,
+        route: _model.Route,
+        call: _model.Call,
+    ) -> Sent:
         """Sends a call to an upstream.
 
         Raises:
@@ -134,7 +142,7 @@
         def finish(outcome: _model.Outcome | None) -> None:
             view.outstanding -= 1
             if outcome is not None:
-                self._learn(upstream, view, outcome, began)
+                self._learn(route, view, outcome, began)
 
         cfg = self._needs.cfg
         if (upstream.host, upstream.port) == cfg.link:
@@ -185,7 +193,7 @@
 
     def _learn(
         self,
-        upstream: _model.Upstream,
+        route: _model.Route,
         view: _View,
         outcome: _model.Outcome,
         began: float,
@@ -199,8 +207,8 @@
         if suspension_s is not None:
             view.suspended_until = now + suspension_s
         if outcome.verdict is _model.Verdict.ANSWERED:
-            typical_s = self.typical_s(upstream.service)
-            self._typical[upstream.service] = (
+            typical_s = self.typical_s(route)
+            self._typical[route.name] = (
                 typical_s + (now - began - typical_s) * TYPICAL_SMOOTHING
             )
 
--- a/flamingolug/platform/__main__.py
+++ b/flamingolug/platform/__main__.py
@@ -20,7 +20,7 @@
     except errors.ConfigurationError as exc:
         print(exc, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    telemetry.configure("info", cfg.identity.name)
+    telemetry.configure_bounded("info", cfg.identity.name)
     return gateway.run(
         gateway.Environment(
             settings=cfg,
--- a/flamingolug/platform/_headers.py
+++ b/flamingolug/platform/_headers.py
@@ -20,11 +20,10 @@
     caller=_CALLER,
     seal=b"x-response-seal",
     not_run=_NOT_RUN,
-    load=_LOAD,
+    internal=frozenset((_LOAD, _INSTANCE, _REQUEST_ID)),
 )
 CALLER_NAMES = gateway.CallerNames(
     request_id=_REQUEST_ID,
     deadline=_DEADLINE,
     replaced=frozenset((_REQUEST_ID, _DEADLINE, _CALLER, _EXPECTED)),
-    internal=frozenset((_LOAD, _INSTANCE)),
 )
--- a/flamingolug/telemetry/__init__.py
+++ b/flamingolug/telemetry/__init__.py
@@ -1,7 +1,10 @@
 """Telemetry: key=value logs and OpenTelemetry counters."""
 
+from flamingolug.telemetry._bounded import BoundedHandler
+from flamingolug.telemetry._bounded import LineLimit
 from flamingolug.telemetry._counters import Counters
 from flamingolug.telemetry._log import configure
+from flamingolug.telemetry._log import configure_bounded
 from flamingolug.telemetry._log import event
 from flamingolug.telemetry._log import failure
 from flamingolug.telemetry._names import Refusal
@@ -9,11 +12,14 @@
 from flamingolug.telemetry._names import RetryDenied
 
 __all__ = [
+    "BoundedHandler",
     "Counters",
+    "LineLimit",
     "Refusal",
     "Retry",
     "RetryDenied",
     "configure",
+    "configure_bounded",
     "event",
     "failure",
 ]
--- a/flamingolug/telemetry/_log.py
+++ b/flamingolug/telemetry/_log.py
@@ -5,12 +5,37 @@
 import sys
 
 from flamingolug import errors
+from flamingolug.telemetry import _bounded
 
 _SAFE = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+,"
 )
 
 
+_LIMIT = _bounded.LineLimit(0)
+_STDOUT = 1
+
+
+def configure_bounded(level: str, name: str) -> None:
+    """Sends a bounded number of log lines to standard output.
+
+    A reader that stops never blocks the process; lines that are left out are
+    counted by event and reason.
+    """
+    handler = _bounded.BoundedHandler(_STDOUT)
+    handler.setFormatter(_formatter(name))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    _LIMIT.lines_per_second = _bounded.LINES_PER_SECOND
+
+
+def _formatter(name: str) -> logging.Formatter:
+    return logging.Formatter(
+        f"ts=%(created).3f level=%(levelname)s node={_quote(name)} %(message)s"
+    )
+
+
 def configure(level: str, name: str) -> None:
     """Sends log lines to standard error.
 
@@ -19,12 +44,7 @@
         name: the process's name, added to each line.
     """
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(
-        logging.Formatter(
-            f"ts=%(created).3f level=%(levelname)s node={_quote(name)} "
-            "%(message)s"
-        )
-    )
+    handler.setFormatter(_formatter(name))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
@@ -40,6 +60,15 @@
     """Logs one event as `event=name key=value ...`."""
     if not logger.isEnabledFor(level):
         return
+    for (left_out, reason), count in _LIMIT.take_left_out().items():
+        logger.info(
+            "event=log.left_out of=%s reason=%s lines=%d",
+            _quote(left_out),
+            _quote(reason),
+            count,
+        )
+    if not _LIMIT.allow(name, str(fields.get("reason", ""))):
+        return
     pairs = [f"event={name}"]
     for key, value in fields.items():
         pairs.append(f"{key}={_quote(str(value))}")
