--- a/flamingolug/gateway/__init__.py
+++ b/flamingolug/gateway/__init__.py
@@ -11,6 +11,7 @@
 from flamingolug.gateway._model import Service
 from flamingolug.gateway._model import UpstreamState
 from flamingolug.gateway._program import Environment
+from flamingolug.gateway._program import Node
 from flamingolug.gateway._program import run
 from flamingolug.gateway._request import CallerNames
 from flamingolug.gateway._service import ReportDecoder
@@ -21,6 +22,7 @@
     "Environment",
     "GatewaySettings",
     "Limits",
+    "Node",
     "NodeIdentity",
     "Report",
     "ReportDecoder",
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -26,7 +26,7 @@
 from flamingolug.gateway import _service
 from flamingolug.gateway._environment import Environment
 
-__all__ = ["Environment", "run"]
+__all__ = ["Environment", "Node", "run"]
 
 _LOGGER = logging.getLogger(__name__)
 EXIT_OK = 0
@@ -67,21 +67,34 @@
                 server.close()
 
 
+class Node:
+    """One gateway: its parts and its listening sockets."""
+
+    def __init__(self, environment: _environment.Environment) -> None:
+        """Builds the parts, starts them and listens."""
+        self.parts = kernel.Kernel(
+            _plugins.gateway_parts(),
+            {
+                "gateway.environment": environment,
+                "gateway.timers": timing.GeventTimers(),
+            },
+        )
+        self.parts.start()
+        self._grace_s = environment.settings.grace_s
+        self._listeners = _listen(self.parts, environment)
+
+    def stop(self) -> None:
+        """Leaves without interrupting a request in progress."""
+        _stop_gracefully(self.parts, self._listeners, self._grace_s)
+
+
 def run(environment: _environment.Environment) -> int:
     """Runs a gateway until SIGTERM or SIGINT; returns the exit code."""
     stop = event.Event()
     gevent.signal_handler(signal.SIGTERM, stop.set)
     gevent.signal_handler(signal.SIGINT, stop.set)
     gevent.signal_handler(signal.SIGHUP, _reload, environment)
-    built = kernel.Kernel(
-        _plugins.gateway_parts(),
-        {
-            "gateway.environment": environment,
-            "gateway.timers": timing.GeventTimers(),
-        },
-    )
-    built.start()
-    listeners = _listen(built, environment)
+    node = Node(environment)
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_YOUNG_OBJECTS, GC_MIDDLE_RUNS, GC_OLD_RUNS)
@@ -95,7 +108,7 @@
         service=cfg.identity.service,
     )
     stop.wait()
-    _stop_gracefully(built, listeners, cfg.grace_s)
+    node.stop()
     return EXIT_OK
 
 
@@ -121,8 +134,8 @@
     service = built.get("gateway.service", _service.Service)
     listeners = Listeners()
 
-    def small(handle: _service.Handle) -> Handle:
-        return lambda sock, peer: _service.serve_http(sock, peer, handle)
+    def small(handle: http1.Handle) -> Handle:
+        return lambda sock, peer: http1.serve_connection(sock, peer, handle)
 
     listeners.add("ready", cfg.ready, small(service.answer_ready))
     listeners.add("control", cfg.control, small(service.answer_report))
--- a/flamingolug/gateway/_service.py
+++ b/flamingolug/gateway/_service.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from gevent import socket as gevent_socket
-
 from flamingolug import http1
 from flamingolug import telemetry
 from flamingolug.gateway import _announcer
@@ -16,56 +14,12 @@
 from flamingolug.gateway import _model
 
 _LOGGER = logging.getLogger(__name__)
-_READ_BYTES = 16384
-_LIMITS = http1.MessageLimits(16384, 65536)
 #: Seconds that the acknowledgement of a leave waits until others can read of
 #: it; well under the second after which the report counts as failed.
 PUBLISH_WAIT_S = 0.4
 #: Seconds that a first report waits for the entries of earlier runs.
 SYNC_WAIT_S = 0.5
 
-#: Takes method, target and body; returns status, headers and body.
-Handle = Callable[[http1.Request], tuple[int, http1.Headers, bytes]]
-
-
-def serve_http(
-    sock: gevent_socket.socket, peer: tuple[str, int], handle: Handle
-) -> None:
-    """Serves one connection, one request after the other."""
-    reader = http1.RequestReader(_LIMITS)
-    try:
-        http1.set_socket_options(sock)
-        while True:
-            data = sock.recv(_READ_BYTES)
-            if not data:
-                return
-            reader.feed(data)
-            while reader.ready:
-                req = reader.ready.popleft()
-                status, headers, body = handle(req)
-                sock.sendall(
-                    http1.format_response(
-                        status, headers, body, not req.keep_alive
-                    )
-                )
-                if not req.keep_alive:
-                    return
-            if reader.status:
-                sock.sendall(
-                    http1.format_response(reader.status, [], b"", True)
-                )
-                return
-    except OSError as exc:
-        telemetry.event(
-            _LOGGER,
-            "service.connection_lost",
-            level=logging.DEBUG,
-            peer=f"{peer[0]}:{peer[1]}",
-            error=exc,
-        )
-    finally:
-        sock.close()
-
 
 class ReportDecoder(NamedTuple):
     """Reads what a backend server sends."""
--- a/flamingolug/http1/__init__.py
+++ b/flamingolug/http1/__init__.py
@@ -11,11 +11,14 @@
 from flamingolug.http1._parse import RequestReader
 from flamingolug.http1._parse import Response
 from flamingolug.http1._parse import ResponseReader
+from flamingolug.http1._server import Handle
+from flamingolug.http1._server import serve_connection
 from flamingolug.http1._stream import listen
 from flamingolug.http1._stream import set_socket_options
 
 __all__ = [
     "Connection",
+    "Handle",
     "Headers",
     "MessageLimits",
     "Request",
@@ -27,5 +30,6 @@
     "format_response",
     "listen",
     "open_connection",
+    "serve_connection",
     "set_socket_options",
 ]
--- /dev/null
+++ b/flamingolug/http1/_server.py
@@ -0,0 +1,56 @@
+"""The called side of a connection with few and small requests."""
+
+import logging
+from collections.abc import Callable
+
+from gevent import socket as gevent_socket
+
+from flamingolug import telemetry
+from flamingolug.http1 import _format
+from flamingolug.http1 import _parse
+from flamingolug.http1 import _stream
+
+_LOGGER = logging.getLogger(__name__)
+_READ_BYTES = 16384
+_LIMITS = _parse.MessageLimits(16384, 16 * 1024 * 1024)
+
+#: Takes a request; returns status, headers and body.
+Handle = Callable[[_parse.Request], tuple[int, _parse.Headers, bytes]]
+
+
+def serve_connection(
+    sock: gevent_socket.socket, peer: tuple[str, int], handle: Handle
+) -> None:
+    """Serves one connection, one request after the other."""
+    reader = _parse.RequestReader(_LIMITS)
+    try:
+        _stream.set_socket_options(sock)
+        while True:
+            data = sock.recv(_READ_BYTES)
+            if not data:
+                return
+            reader.feed(data)
+            while reader.ready:
+                req = reader.ready.popleft()
+                status, headers, body = handle(req)
+                close = not req.keep_alive
+                sock.sendall(
+                    _format.format_response(status, headers, body, close)
+                )
+                if close:
+                    return
+            if reader.status:
+                sock.sendall(
+                    _format.format_response(reader.status, [], b"", True)
+                )
+                return
+    except OSError as exc:
+        telemetry.event(
+            _LOGGER,
+            "http.connection_lost",
+            level=logging.DEBUG,
+            peer=f"{peer[0]}:{peer[1]}",
+            error=exc,
+        )
+    finally:
+        sock.close()
--- a/flamingolug/platform/__init__.py
+++ b/flamingolug/platform/__init__.py
@@ -3,11 +3,8 @@
 Nothing outside this package knows a name of the platform.
 """
 
-from flamingolug.platform._configuration import CONFIGURATION_KEY
 from flamingolug.platform._configuration import decode_configuration
-from flamingolug.platform._headers import CALLER_NAMES
-from flamingolug.platform._headers import READY_PATH
-from flamingolug.platform._headers import UPSTREAM_NAMES
+from flamingolug.platform._environment import make_environment
 from flamingolug.platform._reports import decode_leave
 from flamingolug.platform._reports import decode_report
 from flamingolug.platform._settings import load_settings
@@ -15,14 +12,11 @@
 from flamingolug.platform._store import PlatformStore
 
 __all__ = [
-    "CALLER_NAMES",
-    "CONFIGURATION_KEY",
-    "READY_PATH",
     "SETTINGS_VARIABLE",
-    "UPSTREAM_NAMES",
     "PlatformStore",
     "decode_configuration",
     "decode_leave",
     "decode_report",
     "load_settings",
+    "make_environment",
 ]
--- a/flamingolug/platform/__main__.py
+++ b/flamingolug/platform/__main__.py
@@ -21,21 +21,7 @@
         print(exc, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     telemetry.configure_bounded("info", cfg.identity.name)
-    return gateway.run(
-        gateway.Environment(
-            settings=cfg,
-            reload_settings=lambda: platform.load_settings(path),
-            make_store=platform.PlatformStore,
-            configuration_key=platform.CONFIGURATION_KEY,
-            decode_configuration=platform.decode_configuration,
-            report_decoder=gateway.ReportDecoder(
-                platform.decode_report, platform.decode_leave
-            ),
-            upstream_names=platform.UPSTREAM_NAMES,
-            caller_names=platform.CALLER_NAMES,
-            ready_path=platform.READY_PATH,
-        )
-    )
+    return gateway.run(platform.make_environment(cfg, path))
 
 
 if __name__ == "__main__":
