Streams with standing watchers; foreign answers in one packet; path tests

Cause: a gevent socket takes four system calls for a read that waits, a link had a writing task of its own, and the gate looked for late calls 20 times a second though none waited. An answer to another request in the same packet as the right one hid it (found by a new test). Change: http1.Stream keeps its watcher; frames of one turn go out together; responses are queued by the reader. Stand-ins and tests of the whole path.

--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -54,12 +54,12 @@
 class Caller:
     """One connection of a caller."""
 
-    def __init__(self, sock: gevent_socket.socket, needs: Needs) -> None:
+    def __init__(self, stream: http1.Stream, needs: Needs) -> None:
         """Takes over an accepted connection."""
         self.closing = False
         self.active_at = needs.timers.now()
         self._needs = needs
-        self._sock = sock
+        self._stream = stream
         self._slots: deque[_Slot] = deque()
         self._writing = False
         self._ended = False
@@ -93,14 +93,14 @@
         """Closes a connection on which nothing is in progress."""
         if not self._ended:
             self._ended = True
-            self._sock.close()
+            self._stream.close()
 
     def _read(self) -> None:
         reader = self._reader
         while not self._ended:
             try:
-                data = self._sock.recv(_READ_BYTES)
-            except (OSError, ValueError):
+                data = self._stream.recv(_READ_BYTES)
+            except OSError:
                 return
             if not data:
                 return
@@ -176,8 +176,8 @@
 
     def _send(self, data: bytes) -> None:
         try:
-            self._sock.sendall(data)
-        except (OSError, ValueError):
+            self._stream.send_all(data)
+        except OSError:
             self._give_up()
 
     def _linger(self) -> None:
@@ -185,8 +185,8 @@
         if self._ended:
             return
         try:
-            self._sock.shutdown(gevent_socket.SHUT_WR)
-        except (OSError, ValueError):
+            self._stream.end_output()
+        except OSError:
             self._give_up()
             return
         gevent.spawn_later(LINGER_S, self._give_up)
@@ -220,13 +220,13 @@
 
     def serve(self, sock: gevent_socket.socket, peer: tuple[str, int]) -> None:
         """Serves one connection until it ends."""
+        del peer
         try:
-            http1.set_socket_options(sock)
+            stream = http1.Stream(sock)
         except OSError:
-            sock.close()
+            # The caller has gone before its connection was accepted.
             return
-        del peer
-        caller = Caller(sock, self._needs)
+        caller = Caller(stream, self._needs)
         self._callers.add(caller)
         try:
             caller.run()
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -87,6 +87,7 @@
         self._pool = self._new_pool()
         self._tickets: set[_slots.Ticket] = set()
         self._reported_at = 0.0
+        self._sweeping: timing.Subscription | None = None
         self._down_until = 0.0
         self._failing = 0.0
         self._misdirected = ""
@@ -97,13 +98,14 @@
 
     def start(self) -> None:
         """Begins the periodic work."""
-        timers = self._needs.timers
-        timers.every(SWEEP_INTERVAL_S, self.slots_sweep)
-        timers.every(TRIM_INTERVAL_S, self._trim)
+        self._needs.timers.every(TRIM_INTERVAL_S, self._trim)
 
-    def slots_sweep(self) -> None:
+    def _sweep(self) -> None:
         """Refuses calls that have waited too long."""
         self.slots.refuse_late()
+        if not any(self.slots.waiting) and self._sweeping is not None:
+            self._sweeping.cancel()
+            self._sweeping = None
 
     @property
     def upstream_id(self) -> str:
@@ -230,6 +232,10 @@
         if granted is None:
             done: event.AsyncResult[bool] = event.AsyncResult()
             ticket.resolve = done.set
+            if self._sweeping is None:
+                self._sweeping = self._needs.timers.every(
+                    SWEEP_INTERVAL_S, self._sweep
+                )
             granted = done.get()
         if not granted:
             reason = "cancelled" if ticket.cancelled else "shed"
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -5,15 +5,12 @@
 """
 
 import logging
-import socket
 from collections.abc import Callable
 from typing import NamedTuple
 
 import gevent
 import msgspec
 from gevent import event
-from gevent import socket as gevent_socket
-from gevent import timeout as gevent_timeout
 
 from flamingolug import errors
 from flamingolug import http1
@@ -88,17 +85,24 @@
 
 
 class Wire:
-    """One connection: a task writes, the caller's task reads."""
+    """One connection between two nodes.
 
-    def __init__(self, sock: gevent_socket.socket, peer: str) -> None:
-        """Takes over a connected socket and starts the writing task."""
+    Frames that are sent in one turn of the event loop go out together.
+    """
+
+    def __init__(self, stream: http1.Stream, peer: str) -> None:
+        """Takes over a connected stream."""
         self.peer = peer
-        self.closed = False
-        self._sock = sock
+        self._stream = stream
         self._buffer: list[bytes] = []
         self._buffered = 0
-        self._wake = event.Event()
-        gevent.spawn(self._write)
+        self._flush_due = False
+        self._loop = gevent.get_hub().loop
+
+    @property
+    def closed(self) -> bool:
+        """Whether the link has ended on this side."""
+        return self._stream.closed
 
     def send(self, frame: _frames.Frame) -> bool:
         """Queues a frame; returns whether the link took it."""
@@ -110,41 +114,61 @@
             return False
         self._buffer.append(data)
         self._buffered += len(data)
-        self._wake.set()
+        if not self._flush_due:
+            self._flush_due = True
+            self._loop.run_callback(self._flush)
         return True
 
     def receive(self) -> bytes:
         """Returns the next bytes, empty when the link has ended."""
         try:
-            return bytes(self._sock.recv(_READ_BYTES))
-        except (OSError, ValueError):
+            return self._stream.recv(_READ_BYTES)
+        except OSError:
             # The reason is told by whoever watches the link.
             return b""
 
     def close(self) -> None:
         """Ends the link."""
+        self._stream.close()
+
+    def _take_buffer(self) -> bytes:
+        buffer, self._buffer = self._buffer, []
+        self._buffered = 0
+        return buffer[0] if len(buffer) == 1 else b"".join(buffer)
+
+    def _flush(self) -> None:
+        """Sends what is queued; runs in the event loop and never blocks."""
         if self.closed:
             return
-        self.closed = True
-        self._wake.set()
-        self._sock.close()
-
-    def _write(self) -> None:
-        while not self.closed:
-            self._wake.wait()
-            self._wake.clear()
-            data = b"".join(self._buffer)
-            self._buffer.clear()
-            if not data or self.closed:
-                continue
-            try:
-                self._sock.sendall(data)
-            except (OSError, ValueError) as exc:
-                telemetry.event(
-                    _LOGGER, "link.write_failed", peer=self.peer, error=exc
-                )
-                self.close()
-            self._buffered = sum(map(len, self._buffer))
+        data = self._take_buffer()
+        try:
+            sent = self._stream.send_now(data)
+        except OSError as exc:
+            self._fail(exc)
+            return
+        if sent < len(data):
+            gevent.spawn(self._send_rest, data[sent:])
+            return
+        self._flush_due = False
+
+    def _send_rest(self, data: bytes) -> None:
+        """Sends what the peer did not take at once, and what came since."""
+        self._buffered += len(data)
+        try:
+            while data:
+                self._stream.send_all(data)
+                data = self._take_buffer()
+        except OSError as exc:
+            self._fail(exc)
+            return
+        self._flush_due = False
+
+    def _fail(self, exc: OSError) -> None:
+        if not self.closed:
+            telemetry.event(
+                _LOGGER, "link.write_failed", peer=self.peer, error=exc
+            )
+            self.close()
 
 
 class Pending:
@@ -266,15 +290,11 @@
             each.result.set(_model.unknown("link-lost"))
 
     def _run(self) -> None:
-        sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            http1.set_socket_options(sock)
-            with gevent_timeout.Timeout(
-                CONNECT_TIMEOUT_S, TimeoutError("connect")
-            ):
-                sock.connect(self.address)
-        except (OSError, TimeoutError) as exc:
-            sock.close()
+            stream = http1.connect(
+                self.address[0], self.address[1], CONNECT_TIMEOUT_S
+            )
+        except OSError as exc:
             telemetry.event(
                 _LOGGER,
                 "link.unreachable",
@@ -285,7 +305,7 @@
             self.fail("unreachable")
             return
         self.heard_at = self._needs.timers.now()
-        self._wire = Wire(sock, self.peer)
+        self._wire = Wire(stream, self.peer)
         identity = self._needs.cfg.identity
         self._wire.send(
             _frames.Hello(identity.name, identity.zone, self._needs.version())
--- a/flamingolug/gateway/_peer_server.py
+++ b/flamingolug/gateway/_peer_server.py
@@ -37,8 +37,13 @@
 
     def serve(self, sock: gevent_socket.socket, peer: tuple[str, int]) -> None:
         """Serves one link until it ends."""
-        http1.set_socket_options(sock)
-        wire = _link.Wire(sock, f"{peer[0]}:{peer[1]}")
+        name = f"{peer[0]}:{peer[1]}"
+        try:
+            stream = http1.Stream(sock)
+        except OSError as exc:
+            telemetry.event(_LOGGER, "link.not_opened", peer=name, error=exc)
+            return
+        wire = _link.Wire(stream, name)
         identity = self._needs.links.cfg.identity
         wire.send(
             _frames.Hello(
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -66,6 +66,10 @@
             if server is not None:
                 server.close()
 
+    def close_all(self) -> None:
+        """Closes every listening socket."""
+        self.close(*list(self._servers))
+
 
 class Node:
     """One gateway: its parts and its listening sockets."""
@@ -83,6 +87,10 @@
         self._grace_s = environment.settings.grace_s
         self._listeners = _listen(self.parts, environment)
 
+    def close(self) -> None:
+        """Closes the listening sockets at once."""
+        self._listeners.close_all()
+
     def stop(self) -> None:
         """Leaves without interrupting a request in progress."""
         _stop_gracefully(self.parts, self._listeners, self._grace_s)
@@ -177,7 +185,7 @@
         if not entry.busy:
             break
     left = entry.busy or gate.busy
-    listeners.close("outbound", "link", "control", "ready", "metrics")
+    listeners.close_all()
     built.get("gateway.links", _link.Links).close()
     telemetry.event(
         _LOGGER,
--- a/flamingolug/http1/__init__.py
+++ b/flamingolug/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages over gevent sockets, for the path of every request."""
 
+from flamingolug.http1._client import connect
 from flamingolug.http1._client import Connection
 from flamingolug.http1._client import open_connection
 from flamingolug.http1._format import format_request
@@ -14,7 +15,7 @@
 from flamingolug.http1._server import Handle
 from flamingolug.http1._server import serve_connection
 from flamingolug.http1._stream import listen
-from flamingolug.http1._stream import set_socket_options
+from flamingolug.http1._stream import Stream
 
 __all__ = [
     "Connection",
@@ -25,11 +26,12 @@
     "RequestReader",
     "Response",
     "ResponseReader",
+    "Stream",
+    "connect",
     "end_to_end",
     "format_request",
     "format_response",
     "listen",
     "open_connection",
     "serve_connection",
-    "set_socket_options",
 ]
--- a/flamingolug/http1/_client.py
+++ b/flamingolug/http1/_client.py
@@ -1,9 +1,7 @@
 """The calling side of one HTTP/1.1 connection."""
 
-import select
 import socket
 
-from gevent import select as gevent_select
 from gevent import socket as gevent_socket
 from gevent import timeout as gevent_timeout
 
@@ -17,32 +15,26 @@
 class Connection:
     """A connection that carries one request at a time."""
 
-    def __init__(self, sock: gevent_socket.socket, peer: str) -> None:
-        """Takes over a connected socket."""
+    def __init__(self, stream: _stream.Stream, peer: str) -> None:
+        """Takes over a connected stream."""
         self.peer = peer
+        #: Requests sent so far.
         self.exchanges = 0
-        self._sock = sock
+        self._stream = stream
         self._reader = _parse.ResponseReader()
-        self._closed = False
 
     def close(self) -> None:
         """Closes the connection; a request in progress is given up."""
-        if not self._closed:
-            self._closed = True
-            self._sock.close()
+        self._stream.close()
 
     @property
     def closed(self) -> bool:
         """Whether it has been closed on this side."""
-        return self._closed
+        return self._stream.closed
 
     def is_clean(self) -> bool:
         """Returns whether nothing has arrived since the last response."""
-        if self._closed:
-            return False
-        poller = select.poll()
-        poller.register(self._sock.fileno(), select.POLLIN | select.POLLRDHUP)
-        return not poller.poll(0)
+        return not self._stream.has_input()
 
     def send(self, data: bytes) -> bool:
         """Sends a request.
@@ -56,19 +48,11 @@
         """
         self.exchanges += 1
         try:
-            sent = self._sock.send(data)
-            while sent < len(data):
-                readable, _, _ = gevent_select.select(
-                    [self._sock], [self._sock], []
-                )
-                if readable:
-                    return False
-                sent += self._sock.send(data[sent:])
-        except (OSError, ValueError) as exc:
+            return self._stream.send_all(data, stop_if_readable=True)
+        except OSError as exc:
             raise errors.BackendError(
                 f"sending failed: {exc}", step="send", peer=self.peer, sent=True
             ) from exc
-        return True
 
     def receive(self, head: bool, max_bytes: int) -> _parse.Response:
         """Reads the next response.
@@ -79,22 +63,27 @@
         reader = self._reader
         reader.expect(head)
         received = 0
-        while not reader.done:
-            try:
-                data = self._sock.recv(_READ_BYTES)
-            except (OSError, ValueError) as exc:
-                raise self._lost(f"reset: {exc}") from exc
-            if not data:
-                if reader.finish():
-                    break
-                raise self._lost("closed before the response was complete")
-            received += len(data)
-            reader.feed(data)
+        while not reader.ready:
             if reader.broken:
                 raise self._lost("not a response")
             if received > max_bytes:
                 raise self._lost("response too large")
-        return reader.response()
+            try:
+                data = self._stream.recv(_READ_BYTES)
+            except OSError as exc:
+                raise self._lost(f"reset: {exc}") from exc
+            if data:
+                received += len(data)
+                reader.feed(data)
+                continue
+            reader.finish()
+            if not reader.ready:
+                raise self._lost("closed before the response was complete")
+        response = reader.ready.popleft()
+        if reader.ready or reader.partial or reader.broken:
+            # Bytes that belong to no request follow.
+            return response._replace(reusable=False)
+        return response
 
     def _lost(self, message: str) -> errors.BackendError:
         return errors.BackendError(
@@ -102,25 +91,39 @@
         )
 
 
-def open_connection(
+def connect(
     host: str, port: int, timeout_s: float, local_host: str = ""
-) -> Connection:
-    """Opens a connection.
+) -> _stream.Stream:
+    """Opens a stream.
 
     Raises:
-        BackendError: no connection within `timeout_s`; nothing was sent.
+        OSError: there is no connection; nothing was sent.
     """
-    peer = f"{host}:{port}"
     sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         if local_host:
             sock.bind((local_host, 0))
-        _stream.set_socket_options(sock)
         with gevent_timeout.Timeout(timeout_s, TimeoutError("connect")):
             sock.connect((host, port))
-    except (OSError, TimeoutError) as exc:
+        return _stream.Stream(sock)
+    except OSError:
         sock.close()
+        raise
+
+
+def open_connection(
+    host: str, port: int, timeout_s: float, local_host: str = ""
+) -> Connection:
+    """Opens a connection.
+
+    Raises:
+        BackendError: no connection within `timeout_s`; nothing was sent.
+    """
+    peer = f"{host}:{port}"
+    try:
+        stream = connect(host, port, timeout_s, local_host)
+    except OSError as exc:
         raise errors.BackendError(
             f"no connection: {exc}", step="connect", peer=peer, sent=False
         ) from exc
-    return Connection(sock, peer)
+    return Connection(stream, peer)
--- a/flamingolug/http1/_parse.py
+++ b/flamingolug/http1/_parse.py
@@ -181,90 +181,58 @@
 
 
 class ResponseReader:
-    """Turns the bytes of an upstream connection into one response at a time.
+    """Turns the bytes of an upstream connection into responses.
 
     Attributes:
-        done: whether a whole response has been read.
-        extra: whether bytes followed the response.
-        broken: whether the bytes are not a response.
-        started: whether any byte has been read since `expect`.
+        ready: whole responses, in the order of their arrival.
+        partial: whether a response has begun and is not whole.
+        broken: whether the bytes behind `ready` are not a response.
     """
 
     def __init__(self) -> None:
         """Starts at the beginning of a connection."""
-        self._parser = httptools.HttpResponseParser(self)
-        self.extra = False
+        self.ready: deque[Response] = deque()
+        self.partial = False
         self.broken = False
-        self.expect(head=False)
+        self._parser = httptools.HttpResponseParser(self)
+        self._head_request = False
+        self._ended = False
+        self._clear()
 
     def expect(self, head: bool) -> None:
-        """Prepares for the response to the next request.
+        """Prepares for the response to a request.
 
         Args:
             head: whether the request's method was HEAD.
         """
-        self.done = False
-        self.started = False
         self._head_request = head
-        self._clear()
-
-    def _clear(self) -> None:
-        self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._framed = False
-        self._in_body = False
-        self._keep_alive = False
-        self._status = 0
 
     def feed(self, data: bytes) -> None:
         """Takes in bytes from the connection."""
-        self.started = True
-        if self.done:
-            self.extra = True
+        if self._ended:
+            self.broken = True
             return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            if self.done:
-                self.extra = True
-            else:
-                self.broken = True
-
-    def finish(self) -> bool:
-        """Notes an orderly end; returns whether it completes a response."""
-        if self.done:
-            return True
-        if self.broken or not self._in_body or self._framed:
-            return False
-        self.done = True
-        return True
-
-    def response(self) -> Response:
-        """Returns the response that has been read."""
-        reusable = (
-            self._keep_alive
-            and self._framed
-            and not self.extra
-            and not self._head_request
-        )
-        return Response(
-            self._status, self._headers, b"".join(self._body), reusable
-        )
+            self.broken = True
+
+    def finish(self) -> None:
+        """Notes an orderly end, which completes a body without length."""
+        if self.partial and self._in_body and not self._framed:
+            self._complete(reusable=False)
 
     def on_message_begin(self) -> None:
-        """Begins a response, or notes one that nobody asked for."""
-        if self.done:
-            self.extra = True
+        """Begins a response."""
+        self._clear()
+        self.partial = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Takes in a header field."""
-        if not self.done:
-            self._headers.append((name.lower(), value))
+        self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Looks at how the body is framed."""
-        if self.done:
-            return
         self._status = self._parser.get_status_code()
         if self._status < 200:
             return
@@ -273,20 +241,37 @@
             name in (b"content-length", b"transfer-encoding")
             for name, _ in self._headers
         )
-        self._keep_alive = self._parser.should_keep_alive()
         if self._head_request:
-            self.done = True
+            # The parser would take what follows for the body.
+            self._complete(reusable=False)
+            self._ended = True
 
     def on_body(self, data: bytes) -> None:
         """Takes in a part of the body."""
-        if not self.done:
-            self._body.append(data)
+        self._body.append(data)
 
     def on_message_complete(self) -> None:
-        """Ends the response; an interim one is dropped."""
-        if self.done:
-            return
-        if self._status < 200:
+        """Ends a response; an interim one is dropped."""
+        if not self.partial or self._status < 200:
             self._clear()
             return
-        self.done = True
+        self._complete(self._framed and self._parser.should_keep_alive())
+
+    def _complete(self, reusable: bool) -> None:
+        body = self._body
+        self.ready.append(
+            Response(
+                self._status,
+                self._headers,
+                body[0] if len(body) == 1 else b"".join(body),
+                reusable,
+            )
+        )
+        self.partial = False
+
+    def _clear(self) -> None:
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._framed = False
+        self._in_body = False
+        self._status = 0
--- a/flamingolug/http1/_server.py
+++ b/flamingolug/http1/_server.py
@@ -23,10 +23,11 @@
 ) -> None:
     """Serves one connection, one request after the other."""
     reader = _parse.RequestReader(_LIMITS)
+    stream: _stream.Stream | None = None
     try:
-        _stream.set_socket_options(sock)
+        stream = _stream.Stream(sock)
         while True:
-            data = sock.recv(_READ_BYTES)
+            data = stream.recv(_READ_BYTES)
             if not data:
                 return
             reader.feed(data)
@@ -34,13 +35,13 @@
                 req = reader.ready.popleft()
                 status, headers, body = handle(req)
                 close = not req.keep_alive
-                sock.sendall(
+                stream.send_all(
                     _format.format_response(status, headers, body, close)
                 )
                 if close:
                     return
             if reader.status:
-                sock.sendall(
+                stream.send_all(
                     _format.format_response(reader.status, [], b"", True)
                 )
                 return
@@ -53,4 +54,5 @@
             error=exc,
         )
     finally:
-        sock.close()
+        if stream is not None:
+            stream.close()
--- /dev/null
+++ b/flamingolug/platform/tests/deployment.py
@@ -0,0 +1,174 @@
+"""Nodes, backend servers and the store in one process, on loopback."""
+
+import itertools
+import os
+
+import gevent
+import msgspec
+
+from flamingolug import gateway
+from flamingolug import http1
+from flamingolug import platform
+from flamingolug_standins import leased_store
+from flamingolug_standins import sealing_server
+
+_HOSTS = itertools.count(1)
+_OUTBOUND = 21
+_READY = 22
+_CONTROL = 23
+_APP = 24
+_LINK = 25
+_STORE = 26
+#: Ports of one test process; processes that run side by side use others.
+_BASE = 20_000 + (os.getpid() % 400) * 100
+
+
+def route(name: str, service: str, **changes: object) -> dict[str, object]:
+    """Returns a route resource; `changes` replace fields of its spec."""
+    spec: dict[str, object] = {
+        "Hostname": "shop.example",
+        "Prefix": f"/{name}/",
+        "Kind": "safe",
+        "TimeoutMs": 1500,
+        "TargetLatencyMs": 1000,
+        "MaxAttempts": 2,
+        "Priority": 1,
+        "Service": service,
+    }
+    spec.update(changes)
+    return {
+        "ResourceType": "Routes",
+        "Metadata": {"Name": name},
+        "Spec": spec,
+    }
+
+
+def document(version: int, routes: list[dict[str, object]]) -> bytes:
+    """Returns a configuration document."""
+    limits = {
+        "ResourceType": "Limits",
+        "Metadata": {},
+        "Spec": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 1048576,
+            "HeaderTimeoutMs": 1000,
+            "IdleTimeoutMs": 15000,
+        },
+    }
+    return msgspec.json.encode(
+        {"Version": f"r{version}", "Resources": [*routes, limits]}
+    )
+
+
+class Machine:
+    """One instance: a node and the backend server beside it."""
+
+    def __init__(
+        self, service: str, store: tuple[str, int], zone: str, grace_s: float
+    ) -> None:
+        """Starts both."""
+        self.host = f"127.0.0.{next(_HOSTS) + 10}"
+        self.settings = gateway.GatewaySettings(
+            identity=gateway.NodeIdentity(
+                f"node-{self.host}", zone, self.host, service
+            ),
+            app=(self.host, _BASE + _APP),
+            outbound=(self.host, _BASE + _OUTBOUND),
+            ready=(self.host, _BASE + _READY),
+            control=(self.host, _BASE + _CONTROL),
+            link=(self.host, _BASE + _LINK),
+            metrics=None,
+            store=store,
+            min_lease_s=1.0,
+            report_interval_s=1.5,
+            grace_s=grace_s,
+            retries=gateway.RetryBounds(0.2, 48.0, 10.0),
+        )
+        self.server = sealing_server.SealingServer(
+            service, self.host, _BASE + _APP, self.settings.control
+        )
+        self.node = gateway.Node(
+            platform.make_environment(self.settings, "none")
+        )
+
+    def wait_ready(self) -> None:
+        """Waits until the node has a configuration."""
+        for _ in range(200):
+            if self.ask_ready() == 200:
+                return
+            gevent.sleep(0.02)
+        raise AssertionError("not ready")
+
+    def ask_ready(self) -> int:
+        """Returns the status of the readiness address."""
+        conn = http1.open_connection(*self.settings.ready, timeout_s=1.0)
+        conn.send(b"GET /v1/ready HTTP/1.1\r\nhost: x\r\n\r\n")
+        status = conn.receive(False, 4096).status
+        conn.close()
+        return status
+
+    def connect(self) -> http1.Connection:
+        """Opens a connection as a caller."""
+        return http1.open_connection(*self.settings.outbound, timeout_s=1.0)
+
+
+class Deployment:
+    """A store and some machines."""
+
+    def __init__(
+        self,
+        services: tuple[str, ...],
+        routes: list[dict[str, object]],
+        grace_s: float = 6.0,
+    ) -> None:
+        """Starts everything and waits until it serves."""
+        self.store = leased_store.LeasedStore(
+            f"127.0.0.{next(_HOSTS) + 10}", _BASE + _STORE
+        )
+        self.store.put("op/config", document(3, routes))
+        self.machines = [
+            Machine(service, self.store.address, "z1", grace_s)
+            for service in services
+        ]
+        for machine in self.machines:
+            machine.wait_ready()
+            assert machine.server.report() == 200
+        for _ in range(200):
+            if len(self.store.keys()) > len(services):
+                break
+            gevent.sleep(0.02)
+        gevent.sleep(0.1)
+
+    def stop(self) -> None:
+        """Ends the listening sockets; greenlets end with the process."""
+        self.store.stop()
+        for machine in self.machines:
+            machine.server.stop()
+            machine.node.close()
+
+
+def request(
+    name: str, request_id: str, method: bytes = b"GET", body: bytes = b""
+) -> bytes:
+    """Returns a request on a route."""
+    return http1.format_request(
+        method,
+        f"/{name}/x?y=1".encode(),
+        [
+            (b"host", b"shop.example"),
+            (b"x-attempt-id", request_id.encode()),
+            (b"x-deadline-ms", b"3000"),
+        ],
+        body,
+    )
+
+
+def ask(
+    machine: Machine, name: str, request_id: str, method: bytes = b"GET"
+) -> http1.Response:
+    """Sends one request on a connection of its own."""
+    conn = machine.connect()
+    conn.send(request(name, request_id, method))
+    response = conn.receive(False, 1 << 20)
+    conn.close()
+    return response
--- /dev/null
+++ b/flamingolug/platform/tests/test_path.py
@@ -0,0 +1,292 @@
+"""The whole path: callers, two nodes, backend servers and the store."""
+
+import unittest
+from collections.abc import Callable
+
+import gevent
+
+from flamingolug import errors
+from flamingolug import http1
+from flamingolug.platform.tests import deployment
+
+_ROUTES = [
+    deployment.route("read", "shelf"),
+    deployment.route("pay", "till", Kind="non_idempotent"),
+]
+
+
+class PathTest(unittest.TestCase):
+    """One deployment for all cases; each uses request ids of its own."""
+
+    fleet: deployment.Deployment
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = deployment.Deployment(("front", "shelf", "till"), _ROUTES)
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        cls.fleet.stop()
+
+    def setUp(self) -> None:
+        self.front, self.shelf, self.till = self.fleet.machines
+        for machine in self.fleet.machines:
+            machine.server.refuse = False
+            machine.server.fail = False
+            machine.server.answer = None
+            machine.server.service_s = 0.005
+
+    def test_an_answer_comes_whole_with_seal_and_id(self) -> None:
+        response = deployment.ask(self.front, "read", "a1")
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.body, b"body of a1")
+        self.assertEqual(response.header(b"x-response-seal"), b"seal-a1")
+        self.assertEqual(response.header(b"x-attempt-id"), b"a1")
+        self.assertEqual(response.header(b"x-server-load"), b"")
+
+    def test_the_upstream_sees_caller_instance_and_time_left(self) -> None:
+        deployment.ask(self.front, "read", "b1")
+        seen = self.shelf.server.seen[-1]
+        self.assertEqual(seen.header(b"x-caller-service"), b"front")
+        self.assertEqual(
+            seen.header(b"x-expected-instance").decode(), self.shelf.server.id
+        )
+        left_ms = int(seen.header(b"x-deadline-ms"))
+        self.assertGreater(left_ms, 0)
+        self.assertLessEqual(left_ms, 1500)
+
+    def test_pipelined_answers_come_in_order(self) -> None:
+        conn = self.front.connect()
+        names = [f"c{number}" for number in range(6)]
+        conn.send(b"".join(deployment.request("read", each) for each in names))
+        got = b""
+        while got.count(b"body of") < len(names):
+            got += conn._stream.recv(65536)
+        order = [got.index(f"body of {each}".encode()) for each in names]
+        self.assertEqual(order, sorted(order))
+        conn.close()
+
+    def test_a_chunked_request_body_arrives_whole(self) -> None:
+        conn = self.front.connect()
+        conn.send(
+            b"POST /pay/x HTTP/1.1\r\nhost: shop.example\r\n"
+            b"x-attempt-id: d1\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        self.assertEqual(conn.receive(False, 4096).status, 200)
+        self.assertEqual(self.till.server.seen[-1].body, b"abcde")
+        conn.close()
+
+    def test_unknown_routes_get_404_and_missing_ids_400(self) -> None:
+        cases = {
+            "no route": (deployment.request("none", "e1"), 404),
+            "no id": (
+                b"GET /read/x HTTP/1.1\r\nhost: shop.example\r\n\r\n",
+                400,
+            ),
+        }
+        for name, (data, status) in cases.items():
+            with self.subTest(name):
+                conn = self.front.connect()
+                conn.send(data)
+                self.assertEqual(conn.receive(False, 4096).status, status)
+                conn.close()
+
+    def test_a_refusal_says_when_to_return(self) -> None:
+        self.till.server.refuse = True
+        response = deployment.ask(self.front, "pay", "f1", b"POST")
+        self.assertEqual(response.status, 503)
+        delay_s = float(response.header(b"retry-after"))
+        self.assertGreater(delay_s, 0.0)
+        self.assertLessEqual(delay_s, 1.0)
+        self.assertNotIn("f1", self.till.server.ran)
+
+    def test_a_lost_answer_of_unrepeatable_work_is_unknown(self) -> None:
+        self.till.server.answer = _cut_and_close(self.till)
+        response = deployment.ask(self.front, "pay", "g1", b"POST")
+        self.assertIn(response.status, (502, 504))
+        self.assertEqual(self.till.server.ran.count("g1"), 1)
+
+    def test_an_answer_to_another_request_is_not_delivered(self) -> None:
+        foreign = http1.format_response(
+            200,
+            [(b"x-attempt-id", b"other"), (b"x-response-seal", b"s")],
+            b"not yours",
+            False,
+        )
+        self.shelf.server.answer = lambda req, data: foreign + data
+        response = deployment.ask(self.front, "read", "h1")
+        self.assertEqual(response.body, b"body of h1")
+
+    def test_an_unsealed_success_is_not_delivered(self) -> None:
+        self.till.server.answer = lambda req, data: data.replace(
+            b"x-response-seal", b"x-other"
+        )
+        response = deployment.ask(self.front, "pay", "i1", b"POST")
+        self.assertEqual(response.status, 502)
+
+    def test_bytes_behind_an_answer_close_the_connection(self) -> None:
+        self.shelf.server.answer = lambda req, data: data + b"stray"
+        self.assertEqual(
+            deployment.ask(self.front, "read", "j1").body, b"body of j1"
+        )
+        self.shelf.server.answer = None
+        self.assertEqual(
+            deployment.ask(self.front, "read", "j2").body, b"body of j2"
+        )
+
+    def test_a_leaving_caller_stops_its_work(self) -> None:
+        self.shelf.server.service_s = 0.6
+        conn = self.front.connect()
+        conn.send(deployment.request("read", "k1"))
+        gevent.sleep(0.1)
+        gate = self.shelf.node.parts.get("gateway.gate", object)
+        conn.close()
+        gevent.sleep(0.2)
+        self.assertFalse(gate.busy)  # type: ignore[attr-defined]
+
+    def test_a_route_timeout_is_kept(self) -> None:
+        self.shelf.server.service_s = 2.0
+        with gevent.Timeout(1.9):
+            response = deployment.ask(self.front, "read", "l1")
+        self.assertEqual(response.status, 504)
+
+
+def _cut_and_close(
+    machine: deployment.Machine,
+) -> Callable[[http1.Request, bytes], bytes]:
+    def answer(req: http1.Request, data: bytes) -> bytes:
+        del req
+        machine.server.answer = None
+        raise OSError("answer lost")
+
+    return answer
+
+
+class LeavingTest(unittest.TestCase):
+    """Upstreams that drain, leave, return or lie."""
+
+    def setUp(self) -> None:
+        self.fleet = deployment.Deployment(("front", "shelf"), _ROUTES)
+        self.front, self.shelf = self.fleet.machines
+
+    def tearDown(self) -> None:
+        self.fleet.stop()
+
+    def test_no_work_after_a_drain_is_acknowledged(self) -> None:
+        for action in ("drain", "leave"):
+            with self.subTest(action):
+                before = len(self.shelf.server.seen)
+                if action == "drain":
+                    self.assertEqual(self.shelf.server.report("draining"), 200)
+                else:
+                    self.assertEqual(self.shelf.server.leave(), 200)
+                response = deployment.ask(self.front, "read", f"m-{action}")
+                self.assertEqual(response.status, 503)
+                self.assertEqual(len(self.shelf.server.seen), before)
+
+    def test_a_late_report_does_not_undo_a_leave(self) -> None:
+        self.shelf.server.leave()
+        self.shelf.server.report("ready")
+        response = deployment.ask(self.front, "read", "n1")
+        self.assertEqual(response.status, 503)
+
+    def test_a_leave_holds_while_the_store_is_away(self) -> None:
+        self.fleet.store.down = True
+        self.assertEqual(self.shelf.server.report("draining"), 200)
+        before = len(self.shelf.server.seen)
+        deployment.ask(self.front, "read", "o1")
+        self.assertEqual(len(self.shelf.server.seen), before)
+
+    def test_a_forged_report_hides_nobody(self) -> None:
+        cases = {
+            "other service": b'{"Service":"x","Slots":4,"State":"ready",'
+            b'"Sequence":99,"born":1}',
+            "not json": b"\xff\xfe",
+            "wrong types": b'{"Service":1,"Slots":"a","State":[]}',
+            "unknown state": b'{"Service":"shelf","Slots":4,"State":"odd",'
+            b'"Sequence":99,"born":1}',
+        }
+        for name, body in cases.items():
+            with self.subTest(name):
+                self.shelf.server.post("heartbeat", body)
+                response = deployment.ask(self.front, "read", f"p-{name[:3]}")
+                self.assertEqual(response.status, 200)
+
+    def test_a_forged_entry_hides_nobody(self) -> None:
+        store = self.fleet.store
+        store.put("fl/upstreams/i-forged", b"\xff not json")
+        store.put("fl/upstreams/i-odd", b'{"id":"i-odd","service":5}')
+        gevent.sleep(0.2)
+        self.assertEqual(deployment.ask(self.front, "read", "q1").status, 200)
+
+    def test_entries_are_back_after_leases_lapse(self) -> None:
+        self.fleet.store.drop_leases()
+        gevent.sleep(1.5)
+        keys = self.fleet.store.keys()
+        self.assertIn(f"fl/upstreams/{self.shelf.server.id}", keys)
+        self.assertEqual(deployment.ask(self.front, "read", "r1").status, 200)
+
+    def test_another_upstream_at_the_address_runs_nothing(self) -> None:
+        self.shelf.server.id = "i-another"
+        response = deployment.ask(self.front, "read", "s1")
+        self.assertEqual(response.status, 503)
+        self.assertNotIn("s1", self.shelf.server.ran)
+
+
+class ConfigurationTest(unittest.TestCase):
+    """The configuration in force."""
+
+    def setUp(self) -> None:
+        self.fleet = deployment.Deployment(("front", "shelf"), _ROUTES)
+        self.front, self.shelf = self.fleet.machines
+
+    def tearDown(self) -> None:
+        self.fleet.stop()
+
+    def _put(self, version: int, name: str) -> None:
+        routes = [deployment.route(name, "shelf")]
+        self.fleet.store.put("op/config", deployment.document(version, routes))
+        gevent.sleep(0.2)
+
+    def test_a_newer_version_is_in_force_and_an_older_one_never(self) -> None:
+        self._put(9, "fresh")
+        self.assertEqual(deployment.ask(self.front, "fresh", "t1").status, 200)
+        self._put(8, "stale")
+        self.assertEqual(deployment.ask(self.front, "fresh", "t2").status, 200)
+        self.assertEqual(deployment.ask(self.front, "stale", "t3").status, 404)
+
+    def test_a_version_arrives_after_history_was_lost(self) -> None:
+        self.fleet.store.forget_history()
+        self._put(12, "later")
+        gevent.sleep(0.8)
+        self.assertEqual(deployment.ask(self.front, "later", "u1").status, 200)
+
+    def test_the_fleet_serves_while_the_store_is_away(self) -> None:
+        self.fleet.store.down = True
+        gevent.sleep(0.7)
+        self.assertEqual(deployment.ask(self.front, "read", "v1").status, 200)
+
+
+class StopTest(unittest.TestCase):
+    """A planned stop of a node."""
+
+    def test_a_stop_interrupts_nothing(self) -> None:
+        fleet = deployment.Deployment(("front", "shelf"), _ROUTES)
+        front, shelf = fleet.machines
+        shelf.server.service_s = 0.3
+        conn = front.connect()
+        conn.send(deployment.request("read", "w1"))
+        gevent.sleep(0.05)
+        stopping = gevent.spawn(front.node.stop)
+        gevent.sleep(0.05)
+        self.assertEqual(front.ask_ready(), 503)
+        response = conn.receive(False, 4096)
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.header(b"connection"), b"close")
+        conn.close()
+        self.assertEqual(deployment.ask(front, "read", "w2").status, 200)
+        stopping.join()
+        with self.assertRaises(errors.BackendError):
+            front.connect()
+        fleet.stop()
--- a/flamingolug_standins/sealing_server.py
+++ b/flamingolug_standins/sealing_server.py
@@ -92,19 +92,20 @@
 
     def _serve(self, sock: gevent_socket.socket, peer: object) -> None:
         del peer
+        stream = http1.Stream(sock)
         reader = http1.RequestReader(_LIMITS)
         try:
             while True:
-                data = sock.recv(65536)
+                data = stream.recv(65536)
                 if not data:
                     return
                 reader.feed(data)
                 while reader.ready:
-                    sock.sendall(self._answer(reader.ready.popleft()))
+                    stream.send_all(self._answer(reader.ready.popleft()))
         except OSError:
             return
         finally:
-            sock.close()
+            stream.close()
 
     def _answer(self, req: http1.Request) -> bytes:
         self.seen.append(req)
