--- /dev/null
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -0,0 +1,286 @@
+"""Decisions under load: slots, choice of upstream, budgets, throttling."""
+
+import random
+import unittest
+from typing import NamedTuple
+
+from flamingolug.gateway import _balance
+from flamingolug.gateway import _budget
+from flamingolug.gateway import _caller_mix
+from flamingolug.gateway import _model
+from flamingolug.gateway import _slots
+from flamingolug.gateway import _throttle
+
+
+class Clock:
+    """A clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.at = 100.0
+
+    def now(self) -> float:
+        return self.at
+
+
+def make_call(
+    rank: int = 1, left_s: float = 2.0, wait_s: float = 1.0, at: float = 100.0
+) -> _model.Call:
+    """Returns a call that starts at `at`."""
+    return _model.Call(
+        request_id="r",
+        upstream_id="u",
+        caller="front",
+        method=b"GET",
+        target=b"/",
+        headers=[],
+        body=b"",
+        deadline=at + left_s,
+        wait_until=at + wait_s,
+        rank=rank,
+        idempotent=True,
+        route="r1",
+    )
+
+
+class SlotsTest(unittest.TestCase):
+    """Bounded priority queue with deadlines."""
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.slots = _slots.Slots(2, self.clock.now)
+        self.slots.hold_s = 0.1
+        self.order: list[str] = []
+
+    def offer(
+        self, name: str, nested: bool = False, **call: float
+    ) -> _slots.Ticket:
+        made = make_call(
+            rank=int(call.get("rank", 1)),
+            left_s=call.get("left_s", 2.0),
+            wait_s=call.get("wait_s", 1.0),
+            at=self.clock.at,
+        )
+        ticket = _slots.Ticket(made, nested)
+
+        def resolve(granted: bool) -> None:
+            self.order.append(name if granted else f"-{name}")
+
+        ticket.resolve = resolve
+        result = self.slots.enter(ticket)
+        if result is not None:
+            self.order.append(name if result else f"-{name}")
+        return ticket
+
+    def test_order_under_load(self) -> None:
+        running = [self.offer("a"), self.offer("b")]
+        self.offer("late-rank", rank=2)
+        self.offer("fresh", rank=1)
+        self.offer("nested", nested=True, rank=1)
+        self.offer("urgent", rank=0)
+        for ticket in running:
+            self.slots.leave(ticket, False)
+        self.assertEqual(self.order, ["a", "b", "urgent", "nested"])
+
+    def test_a_call_that_cannot_finish_is_refused_at_once(self) -> None:
+        cases: dict[str, dict[str, float]] = {
+            "deadline within half the usual time": {"left_s": 0.04},
+            "wait longer than allowed": {"wait_s": 0.01},
+        }
+        self.offer("a")
+        self.offer("b")
+        for name, call in cases.items():
+            with self.subTest(name):
+                self.offer("x", False, **call)
+                self.assertEqual(self.order[-1], "-x")
+
+    def test_a_wait_that_lasts_too_long_ends_in_a_refusal(self) -> None:
+        self.offer("a")
+        self.offer("b")
+        self.offer("w", wait_s=0.3)
+        self.clock.at += 0.31
+        self.slots.refuse_late()
+        self.assertEqual(self.order[-1], "-w")
+        self.assertEqual(sum(self.slots.waiting), 0)
+
+    def test_a_cancelled_wait_never_starts(self) -> None:
+        running = self.offer("a")
+        self.offer("b")
+        waiting = self.offer("w")
+        self.slots.cancel(waiting)
+        self.slots.leave(running, False)
+        self.assertNotIn("w", self.order)
+
+    def test_running_never_passes_the_limit(self) -> None:
+        rng = random.Random(7)
+        running: list[_slots.Ticket] = []
+        tickets: list[_slots.Ticket] = []
+        for step in range(2000):
+            self.clock.at += 0.01
+            if rng.random() < 0.6:
+                tickets.append(self.offer(str(step), rank=rng.randrange(4)))
+            running = [each for each in tickets if each.running]
+            if running and rng.random() < 0.5:
+                self.slots.leave(rng.choice(running), True)
+            self.slots.refuse_late()
+            self.assertLessEqual(self.slots.running, self.slots.limit)
+            count = sum(1 for each in tickets if each.waiting)
+            self.assertEqual(sum(self.slots.waiting), count)
+
+
+class BalanceCase(NamedTuple):
+    """Load of an upstream in the own zone and of one in another zone."""
+
+    own: dict[str, float]
+    other: dict[str, float]
+    expected: str
+
+
+def make_candidate(name: str, own: bool, **load: float) -> _balance.Candidate:
+    """Returns a candidate with the load given."""
+    upstream = _model.Upstream(
+        name, "s", "z", "h", 1, 10, _model.UpstreamState.READY, 0, 0
+    )
+    report = _model.LoadReport(
+        int(load.get("running", 0)),
+        10,
+        (0, 0, 0, 0),
+        load.get("hold_s", 0.1),
+        load.get("failing", 0.0),
+    )
+    return _balance.Candidate(
+        upstream, own, int(load.get("running", 0)), report, 0.0, 0, False
+    )
+
+
+class BalanceTest(unittest.TestCase):
+    """Locality-aware least expected latency."""
+
+    def test_choice(self) -> None:
+        cases = {
+            "own zone though the other is faster": BalanceCase(
+                {"hold_s": 0.15}, {"hold_s": 0.05}, "own"
+            ),
+            "the other zone once the own is full": BalanceCase(
+                {"running": 12}, {"running": 2}, "other"
+            ),
+            "the other zone when the own is too slow": BalanceCase(
+                {"hold_s": 0.8}, {"hold_s": 0.05}, "other"
+            ),
+            "the other zone when the own fails": BalanceCase(
+                {"failing": 0.6}, {}, "other"
+            ),
+        }
+        for name, case in cases.items():
+            with self.subTest(name):
+                chosen = _balance.choose(
+                    [
+                        make_candidate("own", True, **case.own),
+                        make_candidate("other", False, **case.other),
+                    ],
+                    _balance.Work(1, 0.5, 0.2),
+                    frozenset(),
+                    random.Random(1),
+                )
+                assert chosen is not None
+                self.assertEqual(chosen.id, case.expected)
+
+    def test_a_new_upstream_gets_work(self) -> None:
+        known = make_candidate("known", True, running=3, hold_s=0.05)
+        fresh = known._replace(
+            upstream=known.upstream._replace(id="fresh"),
+            outstanding=0,
+            load=None,
+        )
+        chosen = _balance.choose(
+            [known, fresh],
+            _balance.Work(1, 0.5, 0.05),
+            frozenset(),
+            random.Random(1),
+        )
+        assert chosen is not None
+        self.assertEqual(chosen.id, "fresh")
+
+    def test_each_upstream_is_offered_a_request_once(self) -> None:
+        candidates = [make_candidate("a", True), make_candidate("b", False)]
+        work = _balance.Work(1, 0.5, 0.1)
+        chosen = _balance.choose(
+            candidates, work, frozenset("a"), random.Random(1)
+        )
+        assert chosen is not None
+        self.assertEqual(chosen.id, "b")
+        self.assertIsNone(
+            _balance.choose(candidates, work, frozenset("ab"), random.Random(1))
+        )
+
+
+class BudgetTest(unittest.TestCase):
+    """The fleet's retry budget, split among nodes."""
+
+    def test_all_nodes_together_stay_within_the_fleets_bound(self) -> None:
+        clock = Clock()
+        bounds = _model.RetryBounds(0.2, 48.0, 10.0)
+        nodes = [_budget.RetryBudget(bounds, clock.now) for _ in range(17)]
+        rng = random.Random(3)
+        spent: list[float] = []
+        firsts: list[float] = []
+        for _ in range(6000):
+            clock.at += 0.005
+            node = rng.choice(nodes)
+            node.note_first()
+            firsts.append(clock.at)
+            if node.try_spend(17):
+                spent.append(clock.at)
+        for at in spent:
+            repeats = sum(1 for each in spent if at - 10.0 <= each <= at)
+            requests = sum(1 for each in firsts if at - 10.0 <= each <= at)
+            self.assertLessEqual(repeats, 0.2 * requests + 48.0)
+
+
+class ThrottleTest(unittest.TestCase):
+    """Client-side adaptive throttling."""
+
+    def test_work_that_succeeds_is_never_refused(self) -> None:
+        clock = Clock()
+        throttle = _throttle.Throttle(clock.now)
+        for _ in range(500):
+            clock.at += 0.01
+            throttle.note(True)
+            self.assertFalse(throttle.refuse(random.Random(1)))
+
+    def test_work_that_fails_is_refused_and_tried_again(self) -> None:
+        clock = Clock()
+        rng = random.Random(1)
+        throttle = _throttle.Throttle(clock.now)
+        refused = 0
+        for _ in range(400):
+            clock.at += 0.01
+            if throttle.refuse(rng):
+                refused += 1
+                continue
+            throttle.note(False)
+        self.assertGreater(refused, 200)
+        clock.at += 20.0
+        self.assertFalse(throttle.refuse(rng))
+
+
+class CallerMixTest(unittest.TestCase):
+    """Routes of backend servers are told from routes of callers."""
+
+    def test_routes(self) -> None:
+        cases = {
+            "begins everywhere": (("a", "b", "c", "d"), False),
+            "begins beside one service": (("a",), True),
+            "begins beside two services": (("a", "b"), True),
+        }
+        for name, (callers, expected) in cases.items():
+            with self.subTest(name):
+                mix = _caller_mix.CallerMix()
+                for number in range(100):
+                    mix.note("r", callers[number % len(callers)])
+                nested = mix.is_nested("r", ("a", "b", "c", "d"))
+                self.assertEqual(nested, expected)
+
+    def test_few_calls_tell_nothing(self) -> None:
+        mix = _caller_mix.CallerMix()
+        mix.note("r", "a")
+        self.assertFalse(mix.is_nested("r", ("a", "b")))
