--- a/flamingolug/gateway/_announcer.py
+++ b/flamingolug/gateway/_announcer.py
@@ -47,6 +47,8 @@
         self._renewed_at = 0.0
         self._written: _model.Upstream | None = None
         self._stopped = False
+        #: Revisions of keys as this node wrote them last.
+        self._revisions: dict[str, int] = {}
         self._published = event.Event()
 
     def start(self) -> None:
@@ -66,6 +68,7 @@
         written = self._written
         if written is not None and key == _directory.PREFIX + written.id:
             self._written = None
+            self._revisions.clear()
             self._wake.set()
 
     def stop(self) -> None:
@@ -113,6 +116,7 @@
                 )
                 self._lease = 0
                 self._written = None
+                self._revisions.clear()
                 self._wake.set()
             except errors.StoreConflictError as exc:
                 telemetry.failure(_LOGGER, "announcement.conflict", exc)
@@ -146,8 +150,10 @@
     def _write(self, desired: _model.Upstream) -> None:
         key = _directory.PREFIX + desired.id
         value = _directory.encode_entry(desired)
-        page = self._needs.store.read(key)
-        revision = page.items[0].revision if page.items else 0
+        revision = self._revisions.get(key)
+        if revision is None:
+            page = self._needs.store.read(key)
+            revision = page.items[0].revision if page.items else 0
         lease = self._lease
         if desired.state is _model.UpstreamState.GONE:
             lease = self._needs.store.grant_lease(TOMBSTONE_S)
@@ -157,7 +163,11 @@
         replaced = written is not None and written.id != desired.id
         if written is not None and replaced and written.state is not gone:
             deletes.append(_directory.PREFIX + written.id)
-        self._needs.store.write(key, value, revision, lease, deletes)
+        # Should the answer be lost, the key is read before the next try.
+        self._revisions.clear()
+        self._revisions[key] = self._needs.store.write(
+            key, value, revision, lease, deletes
+        )
         self._written = desired
         telemetry.event(
             _LOGGER,
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -24,6 +24,13 @@
 #: Seconds for which an upstream whose entry vanished is still used, so that
 #: entries which lapsed while the store was away can come back.
 LAPSE_GRACE_S = 2.0
+#: Pause behind a change, so that changes which come together are read with
+#: one call; links tell sooner what callers would notice.
+PAUSE_S = 0.3
+#: Further pause for each known entry: the more there are, the more come
+#: together when many start.
+PAUSE_PER_ENTRY_S = 0.005
+MAX_PAUSE_S = 1.0
 
 
 def encode_entry(upstream: _model.Upstream) -> bytes:
@@ -217,6 +224,13 @@
             for item in page.items:
                 self.apply(item)
             self.forget_lapsed()
+            if page.items:
+                gevent.sleep(
+                    min(
+                        PAUSE_S + PAUSE_PER_ENTRY_S * len(self._known),
+                        MAX_PAUSE_S,
+                    )
+                )
 
     def _list(self) -> int:
         """Reads all entries; returns the revision to watch from."""
--- a/flamingolug/platform/tests/deployment.py
+++ b/flamingolug/platform/tests/deployment.py
@@ -2,6 +2,7 @@
 
 import itertools
 import os
+from collections.abc import Collection
 
 import gevent
 import msgspec
@@ -99,6 +100,16 @@
             gevent.sleep(0.02)
         raise AssertionError("not ready")
 
+    def wait_informed(self, services: Collection[str]) -> None:
+        """Waits until the node knows an upstream of each service."""
+        directory = self.node.parts.get("gateway.directory", object)
+        for _ in range(300):
+            known = directory.services()  # type: ignore[attr-defined]
+            if set(services) <= set(known):
+                return
+            gevent.sleep(0.02)
+        raise AssertionError("upstreams are not known")
+
     def ask_ready(self) -> int:
         """Returns the status of the readiness address."""
         conn = http1.open_connection(*self.settings.ready, timeout_s=1.0)
@@ -133,11 +144,8 @@
         for machine in self.machines:
             machine.wait_ready()
             assert machine.server.report() == 200
-        for _ in range(200):
-            if len(self.store.keys()) > len(services):
-                break
-            gevent.sleep(0.02)
-        gevent.sleep(0.1)
+        for machine in self.machines:
+            machine.wait_informed(services)
 
     def stop(self) -> None:
         """Ends the listening sockets; greenlets end with the process."""
