--- /dev/null
+++ b/flamingolug/http1/tests/test_parse.py
@@ -0,0 +1,136 @@
+"""Readers of requests and responses."""
+
+import unittest
+from typing import NamedTuple
+
+from flamingolug import http1
+
+_LIMITS = http1.MessageLimits(512, 64)
+
+
+class RequestCase(NamedTuple):
+    """Bytes of a connection and what they are read as."""
+
+    data: bytes
+    #: Methods of the requests that are complete.
+    methods: tuple[bytes, ...]
+    #: Status to refuse the rest with, 0 for none.
+    status: int
+
+
+class RequestReaderTest(unittest.TestCase):
+    """What clients may send."""
+
+    def test_requests(self) -> None:
+        get = b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
+        cases = {
+            "one": RequestCase(get, (b"GET",), 0),
+            "pipelined": RequestCase(get * 3, (b"GET",) * 3, 0),
+            "incomplete": RequestCase(get[:-2], (), 0),
+            "not http": RequestCase(b"\x16\x03\x01\x02\x00", (), 400),
+            "head too large": RequestCase(
+                b"GET / HTTP/1.1\r\nx: " + b"y" * 600 + b"\r\n\r\n", (), 431
+            ),
+            "body too large by its length": RequestCase(
+                b"POST / HTTP/1.1\r\ncontent-length: 65\r\n\r\n", (), 413
+            ),
+            "body too large in chunks": RequestCase(
+                b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+                b"41\r\n" + b"z" * 65 + b"\r\n0\r\n\r\n",
+                (),
+                413,
+            ),
+            "length and chunks together": RequestCase(
+                b"POST / HTTP/1.1\r\ncontent-length: 4\r\n"
+                b"transfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1",
+                (),
+                400,
+            ),
+            "two lengths": RequestCase(
+                b"POST / HTTP/1.1\r\ncontent-length: 1\r\n"
+                b"content-length: 2\r\n\r\nab",
+                (),
+                400,
+            ),
+            "a good one before a bad one": RequestCase(
+                get + b"\x00\x01", (b"GET",), 400
+            ),
+        }
+        for name, case in cases.items():
+            for step in (1, 7, 4096):
+                with self.subTest(name, step=step):
+                    reader = http1.RequestReader(_LIMITS)
+                    for start in range(0, len(case.data), step):
+                        reader.feed(case.data[start : start + step])
+                    methods = tuple(req.method for req in reader.ready)
+                    self.assertEqual(methods, case.methods)
+                    self.assertEqual(reader.status, case.status)
+
+    def test_connection_headers_are_not_forwarded(self) -> None:
+        headers = [
+            (b"connection", b"keep-alive, x-hop"),
+            (b"keep-alive", b"timeout=5"),
+            (b"x-hop", b"1"),
+            (b"te", b"trailers"),
+            (b"accept", b"*/*"),
+        ]
+        self.assertEqual(http1.end_to_end(headers), [(b"accept", b"*/*")])
+
+
+class ResponseCase(NamedTuple):
+    """Bytes of a connection up to its end and what they are read as."""
+
+    data: bytes
+    bodies: tuple[bytes, ...]
+    broken: bool
+
+
+class ResponseReaderTest(unittest.TestCase):
+    """What upstreams may send."""
+
+    def test_responses(self) -> None:
+        sized = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+        cases = {
+            "sized": ResponseCase(sized, (b"ok",), False),
+            "cut short": ResponseCase(sized[:-1], (), False),
+            "chunked": ResponseCase(
+                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+                b"2\r\nok\r\n0\r\n\r\n",
+                (b"ok",),
+                False,
+            ),
+            "chunked and cut short": ResponseCase(
+                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+                b"2\r\nok\r\n",
+                (),
+                False,
+            ),
+            "without length": ResponseCase(
+                b"HTTP/1.1 200 OK\r\n\r\nall of it", (b"all of it",), False
+            ),
+            "interim before the final one": ResponseCase(
+                b"HTTP/1.1 100 Continue\r\n\r\n" + sized, (b"ok",), False
+            ),
+            "two": ResponseCase(sized * 2, (b"ok", b"ok"), False),
+            "bytes behind": ResponseCase(sized + b"junk!", (b"ok",), True),
+            "not a response": ResponseCase(b"hello there\r\n", (), True),
+        }
+        for name, case in cases.items():
+            for step in (1, 5, 4096):
+                with self.subTest(name, step=step):
+                    reader = http1.ResponseReader()
+                    reader.expect(False)
+                    for start in range(0, len(case.data), step):
+                        reader.feed(case.data[start : start + step])
+                    reader.finish()
+                    bodies = tuple(each.body for each in reader.ready)
+                    self.assertEqual(bodies, case.bodies)
+                    self.assertEqual(reader.broken, case.broken)
+
+    def test_a_head_response_has_no_body_and_no_reuse(self) -> None:
+        reader = http1.ResponseReader()
+        reader.expect(True)
+        reader.feed(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n")
+        response = reader.ready.popleft()
+        self.assertEqual(response.body, b"")
+        self.assertFalse(response.reusable)
--- a/flamingolug/telemetry/_bounded.py
+++ b/flamingolug/telemetry/_bounded.py
@@ -26,6 +26,11 @@
         self._buffered = 0
         os.set_blocking(descriptor, False)
 
+    @property
+    def pending(self) -> int:
+        """Bytes that wait for the reader."""
+        return self._buffered
+
     def emit(self, record: logging.LogRecord) -> None:
         """Writes a record, or keeps it until the reader goes on."""
         line = self.format(record).encode(errors="backslashreplace") + b"\n"
--- /dev/null
+++ b/flamingolug/telemetry/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of flamingolug.telemetry."""
