--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -153,6 +153,7 @@
         upstream = decode_entry(item.key, item.value)
         if upstream is None:
             return
+        self._drop_predecessors(upstream, item.revision)
         self._known[item.key] = _Known(upstream, item.revision)
         self._index()
         telemetry.event(
@@ -165,6 +166,17 @@
             revision=item.revision,
         )
 
+    def _drop_predecessors(
+        self, upstream: _model.Upstream, revision: int
+    ) -> None:
+        """Drops older entries of the same node; it has one upstream."""
+        address = (upstream.host, upstream.port)
+        for key, known in list(self._known.items()):
+            if (known.upstream.host, known.upstream.port) != address:
+                continue
+            if known.revision < revision and known.upstream.id != upstream.id:
+                del self._known[key]
+
     def _remove(self, key: str) -> None:
         known = self._known.get(key)
         self._needs.on_removed(key)
--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -110,7 +110,7 @@
                 self._begin(reader.ready.popleft())
             if reader.status and not self.closing:
                 self._answer_plain(reader.status)
-            if reader.wants_continue:
+            if reader.wants_continue and not self._slots:
                 reader.wants_continue = False
                 self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
             while len(self._slots) >= MAX_PIPELINED and not self._ended:
@@ -128,7 +128,18 @@
         gevent.spawn(self._serve, slot, exchange)
 
     def _serve(self, slot: _Slot, exchange: _request.Exchange) -> None:
-        answer = self._needs.handler.handle(exchange)
+        try:
+            answer = self._needs.handler.handle(exchange)
+        except Exception as exc:
+            telemetry.event(
+                _LOGGER,
+                "request.crashed",
+                level=logging.ERROR,
+                target=exchange.request.target.decode("latin-1"),
+                error=repr(exc),
+            )
+            # Nothing is promised: an attempt may be under way.
+            answer = _request.Answer(502, [], b"internal error\n")
         head = exchange.request.method == b"HEAD"
 
         def render(close: bool) -> bytes:
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -217,8 +217,17 @@
         self, ticket: _slots.Ticket, reply: Callable[[_model.Outcome], None]
     ) -> None:
         self._tickets.add(ticket)
+        outcome = _model.unknown("crashed")
         try:
             outcome = self._admit(ticket)
+        except Exception as exc:
+            telemetry.event(
+                _LOGGER,
+                "gate.crashed",
+                level=logging.ERROR,
+                id=ticket.call.request_id,
+                error=repr(exc),
+            )
         finally:
             self._tickets.discard(ticket)
         self._needs.metrics.count_outcome(outcome)
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -25,7 +25,7 @@
 #: Part of the time left that a fresh request may wait for a slot.
 WAIT_SHARE_OF_LEFT = 0.33
 #: Upstreams that a request is offered to when each refuses it unrun.
-MAX_OFFERS = 3
+MAX_OFFERS = 4
 #: Seconds behind the deadline within which an answer still counts as on its
 #: way: the upstream answers at its deadline, and the answer travels.
 LATE_ANSWER_S = 0.12
--- a/flamingolug/gateway/_upstreams.py
+++ b/flamingolug/gateway/_upstreams.py
@@ -103,8 +103,16 @@
         now = self._now()
         zone = self._needs.cfg.identity.zone
         candidates: list[_balance.Candidate] = []
+        own = self._needs.cfg.link
         for upstream in self._needs.directory.upstreams_of(service):
+            address = (upstream.host, upstream.port)
+            if self._is_elsewhere(address, upstream.id):
+                continue
             view = self._view(upstream.id)
+            if address == own:
+                view.load = self._needs.gate.load()
+                view.load_at = now
+                view.sent_since = 0
             candidates.append(
                 _balance.Candidate(
                     upstream,
@@ -191,6 +199,15 @@
             address
         ) == upstream.id and self._needs.links.is_live(address)
 
+    def _is_elsewhere(self, address: tuple[str, int], upstream_id: str) -> bool:
+        """Returns whether the node at an address says that it has another."""
+        if address == self._needs.cfg.link:
+            return self._needs.gate.upstream_id != upstream_id
+        told = self._at_address.get(address)
+        if not told or told == upstream_id:
+            return False
+        return self._needs.links.is_live(address)
+
     def _learn(
         self,
         route: _model.Route,
