--- a/flamingolug/gateway/_throttle.py
+++ b/flamingolug/gateway/_throttle.py
@@ -18,9 +18,9 @@
 #: How far a window of nothing but failures lowers the share.
 DECREASE = 0.5
 #: Growth of the share in a window without too many failures.
-INCREASE = 1.25
+INCREASE = 1.4
 #: Least share: what is left probes for recovery.
-MIN_SHARE = 0.02
+MIN_SHARE = 0.03
 #: Part of the outcomes seen that is kept from one window to the next.
 KEPT = 0.85
 #: Outcomes below which a ratio tells nothing and the share grows.
