--- a/flamingolug/gateway/_balance.py
+++ b/flamingolug/gateway/_balance.py
@@ -23,8 +23,9 @@
 FAILING_COST = 4.0
 #: Cost at full load, which spreads calls while there are free slots.
 FILL_COST = 0.1
-#: Load over the limit from which calls spill over to other zones.
-FULL_SHARE = 0.9
+#: Load over the limit from which an upstream costs more; a fifth further on
+#: calls spill over to other zones, before waits begin.
+FULL_SHARE = 0.75
 #: Cost of a full upstream for each multiple of its limit beyond that share.
 OVERFULL_COST = 1.5
 #: Age in seconds at which a load report says nothing any more.
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -31,6 +31,9 @@
 #: Seconds without a report after which the backend server counts as gone;
 #: three intervals of reports and the delay of one.
 SILENT_REPORTS = 3.5
+#: Part of the declared slots that is used: some backend servers slow down by
+#: a third when more than 95 in 100 are taken.
+USED_SLOTS_SHARE = 0.94
 #: Largest response that is taken in, bytes.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 #: Weight of a new sample in the share of failing calls.
@@ -406,7 +409,7 @@
         self._down_until = 0.0
         self._failing = 0.0
         self._misdirected = ""
-        self.slots.limit = max(report.slots, 1)
+        self.slots.limit = max(int(report.slots * USED_SLOTS_SHARE), 1)
 
     def _new_pool(self) -> _pool.Pool:
         cfg = self._needs.cfg
--- a/flamingolug/gateway/_throttle.py
+++ b/flamingolug/gateway/_throttle.py
@@ -1,10 +1,10 @@
 """Refuses fresh requests of a kind whose work is mostly wasted below.
 
-Pattern: adaptive admission share (multiplicative decrease on wasted work,
-multiplicative increase without). A request that a deeper service will refuse
-is refused at the entry, before any work is spent on it. What is refused here
-does not count as failed, so that the share recovers within about three
-seconds of the cause's end whatever the share was.
+Pattern: adaptive admission share, with one decrease for each round of
+outcomes and an increase that starts gently and accelerates. A request that a
+deeper service will refuse is refused at the entry, before any work is spent
+on it. What is refused here does not count as failed, so that the share
+recovers within about three seconds of the cause's end whatever the share was.
 """
 
 import random
@@ -15,16 +15,20 @@
 #: Part of finished requests that may fail before the share falls. Single
 #: upstreams that fail part of their requests stay below it.
 TOLERATED_FAILING = 0.2
-#: How far a window of nothing but failures lowers the share.
-DECREASE = 0.5
-#: Growth of the share in a window without too many failures.
-INCREASE = 1.4
+#: Seconds after a decrease in which its outcomes are awaited: work that was
+#: admitted before takes about that long to succeed or fail.
+SETTLE_S = 0.75
+#: First increase after a decrease, and its growth from window to window.
+FIRST_STEP = 0.01
+STEP_GROWTH = 1.3
 #: Least share: what is left probes for recovery.
 MIN_SHARE = 0.03
 #: Part of the outcomes seen that is kept from one window to the next.
 KEPT = 0.85
-#: Outcomes below which a ratio tells nothing and the share grows.
-MIN_OUTCOMES = 1.5
+#: Failures beyond the tolerated part that chance explains.
+CHANCE_FAILURES = 1.5
+#: Seconds without a request after which the past tells nothing.
+FORGET_S = 20.0
 #: How much likelier a request that has been refused before is admitted: its
 #: caller has waited already and does not come a third time.
 RETURNING_FACTOR = 3.0
@@ -38,6 +42,8 @@
         self.share = 1.0
         self._now = now
         self._window_ends = now() + WINDOW_S
+        self._settled_at = 0.0
+        self._step = FIRST_STEP
         self._served = 0.0
         self._failed = 0.0
 
@@ -63,8 +69,7 @@
     def _advance(self) -> None:
         """Changes the share for each window that has ended."""
         now = self._now()
-        if now > self._window_ends + 100 * WINDOW_S:
-            # Nothing was asked for a long time.
+        if now > self._window_ends + FORGET_S:
             self.share = 1.0
             self._served = self._failed = 0.0
             self._window_ends = now + WINDOW_S
@@ -73,11 +78,17 @@
             self._end_window()
 
     def _end_window(self) -> None:
+        if self._window_ends < self._settled_at:
+            return
         outcomes = self._served + self._failed
-        failing = self._failed / outcomes if outcomes >= MIN_OUTCOMES else 0.0
-        if failing > TOLERATED_FAILING:
-            self.share = max(self.share * (1.0 - DECREASE * failing), MIN_SHARE)
-        else:
-            self.share = min(self.share * INCREASE, 1.0)
+        if self._failed > TOLERATED_FAILING * outcomes + CHANCE_FAILURES:
+            succeeding = self._served / outcomes
+            self.share = max(self.share * succeeding, MIN_SHARE)
+            self._step = FIRST_STEP
+            self._settled_at = self._window_ends + SETTLE_S
+            self._served = self._failed = 0.0
+            return
+        self.share = min(self.share + self._step, 1.0)
+        self._step *= STEP_GROWTH
         self._served *= KEPT
         self._failed *= KEPT
--- /dev/null
+++ b/flamingolug/platform/tests/test_gate.py
@@ -0,0 +1,122 @@
+"""What the gate of a node runs, seen from a link."""
+
+import unittest
+from typing import NamedTuple
+
+import gevent
+
+from flamingolug import http1
+from flamingolug.gateway import _frames
+from flamingolug.gateway import _model
+from flamingolug.platform.tests import deployment
+
+
+class Case(NamedTuple):
+    """A call that must not run, and the reason that is told."""
+
+    upstream_id: str
+    left_ms: int
+    reason: str
+
+
+class GateTest(unittest.TestCase):
+    """Calls that arrive late, for another upstream, or cancelled."""
+
+    def setUp(self) -> None:
+        self.fleet = deployment.Deployment(
+            ("shelf",), [deployment.route("read", "shelf")]
+        )
+        self.shelf = self.fleet.machines[0]
+        self.stream = http1.connect(*self.shelf.settings.link, timeout_s=1.0)
+        self.reader = _frames.FrameReader()
+        self.frames: list[_frames.Frame] = []
+
+    def tearDown(self) -> None:
+        self.stream.close()
+        self.fleet.stop()
+
+    def call(self, number: int, **changes: object) -> _frames.CallFrame:
+        """Returns a call that may run, but for `changes`."""
+        fields: dict[str, object] = {
+            "number": number,
+            "request_id": f"id-{number}",
+            "upstream_id": self.shelf.server.id,
+            "caller": "front",
+            "method": b"GET",
+            "target": b"/read/x",
+            "headers": [(b"host", b"shop.example")],
+            "body": b"",
+            "left_ms": 1000,
+            "wait_ms": 500,
+            "rank": 1,
+            "idempotent": False,
+            "route": "read",
+        }
+        fields.update(changes)
+        return _frames.CallFrame(**fields)  # type: ignore[arg-type]
+
+    def send(self, *frames: _frames.Frame) -> None:
+        """Sends frames in one packet."""
+        self.stream.send_all(b"".join(map(_frames.encode, frames)))
+
+    def result(self, number: int) -> _frames.ResultFrame:
+        """Waits for the result of a call."""
+        with gevent.Timeout(3.0):
+            while True:
+                for frame in self.frames:
+                    if not isinstance(frame, _frames.ResultFrame):
+                        continue
+                    if frame.number == number:
+                        return frame
+                self.frames += self.reader.feed(self.stream.recv(65536))
+
+    def test_calls_that_must_not_run(self) -> None:
+        cases = {
+            "another upstream": Case("i-other", 1000, "not-here"),
+            "no time left": Case(self.shelf.server.id, 0, "deadline"),
+        }
+        for number, (name, case) in enumerate(cases.items()):
+            with self.subTest(name):
+                self.send(
+                    self.call(
+                        number,
+                        upstream_id=case.upstream_id,
+                        left_ms=case.left_ms,
+                    )
+                )
+                result = self.result(number)
+                self.assertEqual(result.verdict, _model.Verdict.NOT_RUN.value)
+                self.assertEqual(result.reason, case.reason)
+        self.assertEqual(self.shelf.server.ran, [])
+
+    def test_a_call_read_together_with_its_cancellation_never_runs(
+        self,
+    ) -> None:
+        self.send(self.call(1), _frames.CancelFrame(1), self.call(2))
+        self.result(2)
+        self.assertEqual(self.shelf.server.ran, ["id-2"])
+
+    def test_a_call_runs_once_and_its_answer_comes_back(self) -> None:
+        self.send(self.call(1))
+        result = self.result(1)
+        self.assertEqual(result.status, 200)
+        self.assertEqual(result.body, b"body of id-1")
+        self.assertEqual(self.shelf.server.ran, ["id-1"])
+
+    def test_slots_are_never_exceeded(self) -> None:
+        self.shelf.server.service_s = 0.02
+        numbers = range(1, 40)
+        self.send(*(self.call(number) for number in numbers))
+        for number in numbers:
+            self.result(number)
+        self.assertLessEqual(
+            self.shelf.server.most_running, self.shelf.server.slots
+        )
+
+    def test_unreadable_bytes_end_the_link_only(self) -> None:
+        self.stream.send_all(b"\x00\x00\x00\x03abc")
+        with gevent.Timeout(3.0):
+            while self.stream.recv(65536):
+                pass
+        response = deployment.ask(self.shelf, "read", "after")
+        self.assertEqual(response.status, 200)
