Pressure told hop by hop; a request in progress and pressure in modules of their own

Change: gates tell the highest pressure of their upstream and of what it calls; it lowers the share for kinds whose work is wasted. Entries are stored as plain arrays.

--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -34,15 +34,15 @@
 
 
 def encode_entry(upstream: _model.Upstream) -> bytes:
-    """Returns an upstream as it is stored."""
-    return msgspec.json.encode(upstream._asdict())
+    """Returns an upstream as it is stored: its fields in order, as JSON."""
+    return msgspec.json.encode(upstream)
 
 
 def decode_entry(key: str, value: bytes) -> _model.Upstream | None:
     """Returns a stored upstream, None when the entry is not one of ours."""
     try:
-        found = msgspec.json.decode(value, type=_Stored).to_upstream()
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        found = msgspec.json.decode(value, type=_model.Upstream)
+    except msgspec.DecodeError as exc:
         telemetry.event(
             _LOGGER,
             "directory.unreadable",
@@ -59,23 +59,6 @@
     return found
 
 
-class _Stored(msgspec.Struct):
-    """An upstream as stored, checked field by field."""
-
-    id: str
-    service: str
-    zone: str
-    host: str
-    port: int
-    slots: int
-    state: _model.UpstreamState
-    born_ms: int
-    sequence: int
-
-    def to_upstream(self) -> _model.Upstream:
-        return _model.Upstream(*msgspec.structs.astuple(self))
-
-
 class Needs(NamedTuple):
     """What the directory works with."""
 
--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -12,6 +12,7 @@
 from flamingolug import http1
 from flamingolug import telemetry
 from flamingolug import timing
+from flamingolug.gateway import _exchange
 from flamingolug.gateway import _holder
 from flamingolug.gateway import _model
 from flamingolug.gateway import _request
@@ -45,7 +46,7 @@
 
     def __init__(self) -> None:
         """Creates a place without an answer."""
-        self.exchange: _request.Exchange | None = None
+        self.exchange: _exchange.Exchange | None = None
         #: Builds the answer, given whether the connection then closes.
         self.render: Callable[[bool], bytes] | None = None
         self.close = False
@@ -123,11 +124,11 @@
         if slot.close:
             self.closing = True
         self._slots.append(slot)
-        exchange = _request.Exchange(req, self.active_at)
+        exchange = _exchange.Exchange(req, self.active_at)
         slot.exchange = exchange
         gevent.spawn(self._serve, slot, exchange)
 
-    def _serve(self, slot: _Slot, exchange: _request.Exchange) -> None:
+    def _serve(self, slot: _Slot, exchange: _exchange.Exchange) -> None:
         try:
             answer = self._needs.handler.handle(exchange)
         except Exception as exc:
@@ -139,7 +140,7 @@
                 error=repr(exc),
             )
             # Nothing is promised: an attempt may be under way.
-            answer = _request.Answer(502, [], b"internal error\n")
+            answer = _exchange.Answer(502, [], b"internal error\n")
         head = exchange.request.method == b"HEAD"
 
         def render(close: bool) -> bytes:
--- a/flamingolug/gateway/_environment.py
+++ b/flamingolug/gateway/_environment.py
@@ -4,9 +4,9 @@
 from typing import NamedTuple
 
 from flamingolug import store
+from flamingolug.gateway import _exchange
 from flamingolug.gateway import _gate
 from flamingolug.gateway import _model
-from flamingolug.gateway import _request
 from flamingolug.gateway import _service
 
 
@@ -24,5 +24,5 @@
     decode_configuration: Callable[[bytes], _model.Configuration]
     report_decoder: _service.ReportDecoder
     upstream_names: _gate.UpstreamNames
-    caller_names: _request.CallerNames
+    caller_names: _exchange.CallerNames
     ready_path: bytes
--- /dev/null
+++ b/flamingolug/gateway/_exchange.py
@@ -0,0 +1,49 @@
+"""One request in progress and what its caller is told."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from flamingolug import http1
+
+
+class Answer(NamedTuple):
+    """What a caller is told."""
+
+    status: int
+    headers: http1.Headers
+    body: bytes
+
+
+class CallerNames(NamedTuple):
+    """Names of the headers between a caller and a node."""
+
+    request_id: bytes
+    deadline: bytes
+    #: Headers that are set on the way and never taken from a caller.
+    replaced: frozenset[bytes]
+
+
+class Exchange:
+    """One request in progress."""
+
+    def __init__(self, req: http1.Request, started_at: float) -> None:
+        """Creates an exchange that has not been routed yet."""
+        self.request = req
+        self.started_at = started_at
+        self.cancelled = False
+        self.offers = 0
+        #: Attempts that reached an upstream, or may have.
+        self.arrivals = 0
+        #: Whether an attempt ended without its outcome being known.
+        self.doubtful = False
+        self.stop: Callable[[], None] = _do_nothing
+
+    def cancel(self) -> None:
+        """Notes that the caller has gone."""
+        if not self.cancelled:
+            self.cancelled = True
+            self.stop()
+
+
+def _do_nothing() -> None:
+    pass
--- a/flamingolug/gateway/_frames.py
+++ b/flamingolug/gateway/_frames.py
@@ -51,6 +51,8 @@
     hold_ms: int
     #: Hundredths.
     failing: int
+    #: Hundredths.
+    pressure: int
 
 
 class ResultFrame(msgspec.Struct, array_like=True, tag=3, frozen=True):
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -75,6 +75,8 @@
     announce: Callable[[], None]
     #: Services that have an upstream.
     services: Callable[[], Collection[str]]
+    #: Pressure of the services that the upstream calls.
+    pressure_below: Callable[[], float]
 
 
 class Gate:
@@ -189,12 +191,14 @@
     def load(self) -> _model.LoadReport:
         """Returns the load of the upstream."""
         slots = self.slots
+        pressure = (slots.running + sum(slots.waiting)) / slots.limit
         return _model.LoadReport(
             slots.running,
             slots.limit,
             tuple(slots.waiting),
             slots.hold_s,
             self._failing,
+            max(pressure, self._needs.pressure_below()),
         )
 
     def submit(
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -53,6 +53,7 @@
         tuple(frame.waiting),
         frame.hold_ms / 1000.0,
         frame.failing / 100.0,
+        frame.pressure / 100.0,
     )
 
 
@@ -64,6 +65,7 @@
         list(load.waiting),
         int(load.hold_s * 1000),
         int(load.failing * 100),
+        int(load.pressure * 100),
     )
 
 
--- a/flamingolug/gateway/_model.py
+++ b/flamingolug/gateway/_model.py
@@ -137,6 +137,9 @@
     hold_s: float
     #: Part of recent calls that the upstream refused or failed, 0 to 1.
     failing: float
+    #: Running and waiting calls over the limit, of this upstream or of the
+    #: services that it calls, whichever is highest; above 1 calls wait.
+    pressure: float = 0.0
 
 
 class Outcome(NamedTuple):
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -17,6 +17,7 @@
 from flamingolug.gateway import _metrics
 from flamingolug.gateway import _model
 from flamingolug.gateway import _peer_server
+from flamingolug.gateway import _pressure
 from flamingolug.gateway import _request
 from flamingolug.gateway import _service
 from flamingolug.gateway import _upstreams
@@ -89,7 +90,12 @@
     )
 
 
-@kernel.plugin("gateway.gate", ("gateway.metrics",))
+@kernel.plugin("gateway.pressure")
+def _build_pressure(built: kernel.Kernel) -> object:
+    return _pressure.PressureBelow(_timers(built).now)
+
+
+@kernel.plugin("gateway.gate", ("gateway.metrics", "gateway.pressure"))
 def _build_gate(built: kernel.Kernel) -> object:
     return _gate.Gate(
         _gate.Needs(
@@ -103,6 +109,7 @@
             lambda: built.get(
                 "gateway.directory", _directory.Directory
             ).services(),
+            built.get("gateway.pressure", _pressure.PressureBelow).highest,
         )
     )
 
@@ -193,6 +200,7 @@
             _metrics_of(built),
             _rng(built),
             directory.node_count,
+            built.get("gateway.pressure", _pressure.PressureBelow),
         )
     )
 
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -12,9 +12,11 @@
 from flamingolug import telemetry
 from flamingolug import timing
 from flamingolug.gateway import _budget
+from flamingolug.gateway import _exchange
 from flamingolug.gateway import _holder
 from flamingolug.gateway import _metrics
 from flamingolug.gateway import _model
+from flamingolug.gateway import _pressure
 from flamingolug.gateway import _throttle
 from flamingolug.gateway import _upstreams
 
@@ -44,49 +46,6 @@
 DEFAULT_DEADLINE_S = 30.0
 
 
-class Answer(NamedTuple):
-    """What a caller is told."""
-
-    status: int
-    headers: http1.Headers
-    body: bytes
-
-
-class CallerNames(NamedTuple):
-    """Names of the headers between a caller and a node."""
-
-    request_id: bytes
-    deadline: bytes
-    #: Headers that are set on the way and never taken from a caller.
-    replaced: frozenset[bytes]
-
-
-class Exchange:
-    """One request in progress."""
-
-    def __init__(self, req: http1.Request, started_at: float) -> None:
-        """Creates an exchange that has not been routed yet."""
-        self.request = req
-        self.started_at = started_at
-        self.cancelled = False
-        self.offers = 0
-        #: Attempts that reached an upstream, or may have.
-        self.arrivals = 0
-        #: Whether an attempt ended without its outcome being known.
-        self.doubtful = False
-        self.stop: Callable[[], None] = _do_nothing
-
-    def cancel(self) -> None:
-        """Notes that the caller has gone."""
-        if not self.cancelled:
-            self.cancelled = True
-            self.stop()
-
-
-def _do_nothing() -> None:
-    pass
-
-
 class _Task(NamedTuple):
     """What is fixed once the route of a request is known."""
 
@@ -105,13 +64,14 @@
     """What a handler works with."""
 
     cfg: _model.GatewaySettings
-    names: CallerNames
+    names: _exchange.CallerNames
     holder: _holder.Holder
     upstreams: _upstreams.Upstreams
     timers: timing.Timers
     metrics: _metrics.Metrics
     rng: random.Random
     node_count: Callable[[], int]
+    below: _pressure.PressureBelow
 
 
 class Handler:
@@ -130,7 +90,7 @@
         #: Routes on which backend servers call, as their gates tell.
         self._nested: set[str] = set()
 
-    def handle(self, exchange: Exchange) -> Answer:
+    def handle(self, exchange: _exchange.Exchange) -> _exchange.Answer:
         """Returns the answer to a request."""
         force = self._needs.holder.in_force
         names = self._needs.names
@@ -155,7 +115,7 @@
 
     def _make_task(
         self,
-        exchange: Exchange,
+        exchange: _exchange.Exchange,
         request_id: str,
         force: _holder.InForce,
         route: _model.Route,
@@ -182,7 +142,9 @@
             allowed_s < RETURNING_SHARE * longest_s,
         )
 
-    def _serve(self, exchange: Exchange, task: _Task) -> Answer:
+    def _serve(
+        self, exchange: _exchange.Exchange, task: _Task
+    ) -> _exchange.Answer:
         """Offers the request until there is an answer to give."""
         throttle = self._throttle(task)
         nested = task.route.name in self._nested
@@ -223,7 +185,10 @@
         return self._refuse(exchange, task, reason)
 
     def _attempt(
-        self, exchange: Exchange, task: _Task, upstream: _model.Upstream
+        self,
+        exchange: _exchange.Exchange,
+        task: _Task,
+        upstream: _model.Upstream,
     ) -> _model.Outcome:
         """Sends the request to one upstream and waits for its outcome."""
         now = self._now()
@@ -278,6 +243,8 @@
             sent.abandon()
             return _model.unknown("timeout")
         sent.done(outcome)
+        if outcome.load is not None:
+            self._note_pressure(task, outcome.load.pressure)
         if outcome.nested:
             self._nested.add(task.route.name)
         elif outcome.load is not None:
@@ -285,8 +252,15 @@
             self._nested.discard(task.route.name)
         return outcome
 
+    def _note_pressure(self, task: _Task, pressure: float) -> None:
+        """Takes in what a gate tells of its upstream and what it calls."""
+        if task.route.name not in self._nested:
+            self._throttle(task).note_pressure(pressure)
+            return
+        self._needs.below.note(task.service, pressure)
+
     def _may_retry(
-        self, exchange: Exchange, task: _Task, outcome: _model.Outcome
+        self, exchange: _exchange.Exchange, task: _Task, outcome: _model.Outcome
     ) -> bool:
         """Returns whether the request is offered once more."""
         route = task.route
@@ -310,20 +284,26 @@
         self._needs.metrics.counters.add(_metrics.RETRIES, reason)
         return True
 
-    def _deliver(self, task: _Task, response: http1.Response) -> Answer:
+    def _deliver(
+        self, task: _Task, response: http1.Response
+    ) -> _exchange.Answer:
         """Returns an upstream's own answer."""
         own_id = (self._needs.names.request_id, task.request_id.encode())
-        return Answer(
+        return _exchange.Answer(
             response.status, [*response.headers, own_id], response.body
         )
 
-    def _fail(self, exchange: Exchange, task: _Task, reason: str) -> Answer:
+    def _fail(
+        self, exchange: _exchange.Exchange, task: _Task, reason: str
+    ) -> _exchange.Answer:
         """Returns the answer to a request that may have run."""
         status = 504 if reason in ("timeout", "deadline") else 502
         self._log("request.failed", exchange, task, status, reason)
         return self._own(status, task.request_id, reason, 0.0)
 
-    def _refuse(self, exchange: Exchange, task: _Task, reason: str) -> Answer:
+    def _refuse(
+        self, exchange: _exchange.Exchange, task: _Task, reason: str
+    ) -> _exchange.Answer:
         """Returns the answer to a request that has not run and never will."""
         reason = reason or "upstream-failed"
         self._needs.metrics.counters.add(
@@ -338,7 +318,7 @@
 
     def _refuse_early(
         self, request_id: str, status: int, reason: str
-    ) -> Answer:
+    ) -> _exchange.Answer:
         """Returns the answer to a request that has no route."""
         self._needs.metrics.counters.add(_metrics.REFUSALS, reason, "")
         telemetry.event(
@@ -354,19 +334,19 @@
 
     def _own(
         self, status: int, request_id: str, reason: str, delay_s: float
-    ) -> Answer:
+    ) -> _exchange.Answer:
         """Returns an answer that this node makes itself."""
         headers: http1.Headers = [(b"content-type", b"text/plain")]
         if request_id:
             headers.append((self._needs.names.request_id, request_id.encode()))
         if status in (429, 503):
             headers.append((b"retry-after", f"{delay_s:.3f}".encode()))
-        return Answer(status, headers, f"{reason}\n".encode())
+        return _exchange.Answer(status, headers, f"{reason}\n".encode())
 
     def _log(
         self,
         name: str,
-        exchange: Exchange,
+        exchange: _exchange.Exchange,
         task: _Task,
         status: int,
         reason: str,
--- a/flamingolug/gateway/_throttle.py
+++ b/flamingolug/gateway/_throttle.py
@@ -1,10 +1,16 @@
 """Refuses fresh requests of a kind whose work is mostly wasted below.
 
-Pattern: adaptive admission share, with one decrease for each round of
-outcomes and an increase that starts gently and accelerates. A request that a
-deeper service will refuse is refused at the entry, before any work is spent
-on it. What is refused here does not count as failed, so that the share
-recovers within about three seconds of the cause's end whatever the share was.
+Pattern: adaptive admission share. A request that a deeper service will refuse
+is refused at the entry, before any work is spent on it.
+
+- Pressure, which gates tell hop by hop, lowers the share while calls wait in
+  front of a service further down, before any of them fails. A kind whose work
+  is never wasted is not concerned by it.
+- Wasted work lowers the share to the part that succeeded, once for each round
+  of outcomes.
+- The share then grows gently at first and faster later, so that it stays near
+  what can be served, and is back within about three seconds of the cause's
+  end whatever it was. What is refused here does not count as failed.
 """
 
 import random
@@ -27,6 +33,17 @@
 KEPT = 0.85
 #: Failures beyond the tolerated part that chance explains.
 CHANCE_FAILURES = 1.5
+#: Weight of a new outcome in the part that is wasted: some fifty count.
+WASTE_SMOOTHING = 0.02
+#: Part of wasted work from which pressure below concerns a kind; faults of
+#: single servers waste about one request in a hundred.
+CONCERNED = 0.03
+#: Weight of a new report in the pressure.
+PRESSURE_SMOOTHING = 0.2
+#: Pressure from which calls wait.
+FULL_PRESSURE = 1.0
+#: How far a window lowers the share when twice the limit run and wait.
+PRESSURE_DECREASE = 0.25
 #: Seconds without a request after which the past tells nothing.
 FORGET_S = 20.0
 #: How much likelier a request that has been refused before is admitted: its
@@ -46,6 +63,9 @@
         self._step = FIRST_STEP
         self._served = 0.0
         self._failed = 0.0
+        self._pressure = 0.0
+        #: Part of outcomes that failed, over a longer time.
+        self._wasted = 0.0
 
     def refuse(self, returning: bool, rng: random.Random) -> bool:
         """Returns whether a request is refused.
@@ -65,6 +85,12 @@
             self._served += 1.0
         else:
             self._failed += 1.0
+        sample = 0.0 if served else 1.0
+        self._wasted += (sample - self._wasted) * WASTE_SMOOTHING
+
+    def note_pressure(self, pressure: float) -> None:
+        """Takes in the highest pressure on the way of the work."""
+        self._pressure += (pressure - self._pressure) * PRESSURE_SMOOTHING
 
     def _advance(self) -> None:
         """Changes the share for each window that has ended."""
@@ -88,6 +114,13 @@
             self._settled_at = self._window_ends + SETTLE_S
             self._served = self._failed = 0.0
             return
+        if self._wasted > CONCERNED and self._pressure > FULL_PRESSURE:
+            excess = min(self._pressure - FULL_PRESSURE, 1.0)
+            self.share = max(
+                self.share * (1.0 - PRESSURE_DECREASE * excess), MIN_SHARE
+            )
+            self._step = FIRST_STEP
+            return
         self.share = min(self.share + self._step, 1.0)
         self._step *= STEP_GROWTH
         self._served *= KEPT
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -274,6 +274,24 @@
         self.assertGreater(self.play(1.0, 1.0), 0.6)
         self.assertEqual(self.play(2.0, 1.0), 1.0)
 
+    def test_pressure_below_lowers_the_share_before_work_is_wasted(
+        self,
+    ) -> None:
+        self.play(3.0, 0.7)
+        self.throttle.share = 1.0
+        for _ in range(40):
+            self.clock.at += 0.05
+            self.throttle.note_pressure(2.0)
+            self.throttle.refuse(False, self.rng)
+        self.assertLess(self.throttle.share, 0.5)
+
+    def test_pressure_does_not_concern_work_that_succeeds(self) -> None:
+        for _ in range(40):
+            self.clock.at += 0.05
+            self.throttle.note_pressure(5.0)
+            self.throttle.note(True)
+            self.assertFalse(self.throttle.refuse(False, self.rng))
+
     def test_returning_requests_are_admitted_first(self) -> None:
         self.throttle.share = 0.3
         fresh = sum(
