--- a/flamingolug/gateway/_balance.py
+++ b/flamingolug/gateway/_balance.py
@@ -54,11 +54,23 @@
     """What is known of the call to be placed."""
 
     rank: int
+    #: Time within which it must be answered to be of use.
     target_s: float
     #: Time that calls of its kind usually take, seconds.
     typical_s: float
 
 
+def describe_work(route: _model.Route, typical_s: float) -> Work:
+    """Returns the work of a call on a route.
+
+    A time-out that is shorter than the latency target binds: behind it there
+    is no answer at all.
+    """
+    return Work(
+        route.rank, min(route.target_latency_s, route.timeout_s), typical_s
+    )
+
+
 def mean_hold_s(candidates: Sequence[Candidate]) -> float:
     """Returns the mean hold time of the upstreams that told theirs."""
     total = 0.0
--- a/flamingolug/gateway/_upstreams.py
+++ b/flamingolug/gateway/_upstreams.py
@@ -124,9 +124,7 @@
                     now < view.suspended_until,
                 )
             )
-        work = _balance.Work(
-            route.rank, route.target_latency_s, self.typical_s(route)
-        )
+        work = _balance.describe_work(route, self.typical_s(route))
         return _balance.choose(candidates, work, tried, self._needs.rng)
 
     def typical_s(self, route: _model.Route) -> float:
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -184,6 +184,22 @@
                 assert chosen is not None
                 self.assertEqual(chosen.id, case.expected)
 
+    def test_a_time_out_shorter_than_the_target_binds(self) -> None:
+        route = _model.Route(
+            "r", "h", "/", (("s", 1.0),), False, 1.2, 4.0, 2, 2
+        )
+        chosen = _balance.choose(
+            [
+                make_candidate("own", True, hold_s=0.7),
+                make_candidate("other", False, hold_s=0.3),
+            ],
+            _balance.describe_work(route, 0.8),
+            frozenset(),
+            random.Random(1),
+        )
+        assert chosen is not None
+        self.assertEqual(chosen.id, "other")
+
     def test_a_new_upstream_gets_work(self) -> None:
         known = make_candidate("known", True, running=3, hold_s=0.05)
         fresh = known._replace(
