Plug-ins belong to a program; a closed gateway leaves no task behind

Then nodes of earlier tests went on asking their dead stores and slowed later tests into 30 s time-outs. Ruled out: load alone, since the same tests pass beside the same load once nodes end their tasks. Change: registered(program); stop for each part.

--- a/flamingolug/gateway/_announcer.py
+++ b/flamingolug/gateway/_announcer.py
@@ -43,6 +43,7 @@
         """Starts without an entry."""
         self._needs = needs
         self._wake = event.Event()
+        self._task: gevent.Greenlet[[], None] | None = None
         self._lease = 0
         self._renewed_at = 0.0
         self._written: _model.Upstream | None = None
@@ -53,7 +54,12 @@
 
     def start(self) -> None:
         """Begins to keep the entry."""
-        gevent.spawn(self._run)
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Ends keeping the entry; it lapses unless it was withdrawn."""
+        if self._task is not None:
+            self._task.kill(block=False)
 
     def publish(self, wait_s: float = 0.0) -> bool:
         """Writes the entry anew; returns whether it is written in time."""
@@ -71,7 +77,7 @@
             self._revisions.clear()
             self._wake.set()
 
-    def stop(self) -> None:
+    def withdraw(self) -> None:
         """Removes the entry, unless it tells that the upstream left."""
         self._stopped = True
         if not self._lease:
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -88,12 +88,18 @@
         #: Set once all entries have been read.
         self.synced = event.Event()
         self._needs = needs
+        self._task: gevent.Greenlet[[], None] | None = None
         self._known: dict[str, _Known] = {}
         self._services: dict[str, list[_Known]] = {}
 
     def start(self) -> None:
         """Begins to follow the store."""
-        gevent.spawn(self._follow)
+        self._task = gevent.spawn(self._follow)
+
+    def stop(self) -> None:
+        """Ends following the store."""
+        if self._task is not None:
+            self._task.kill(block=False)
 
     def find(self, upstream_id: str) -> tuple[_model.Upstream, int] | None:
         """Returns the entry of an upstream and its revision."""
--- a/flamingolug/gateway/_holder.py
+++ b/flamingolug/gateway/_holder.py
@@ -44,6 +44,7 @@
         #: Whether the store is being followed without a gap.
         self.following = False
         self._needs = needs
+        self._task: gevent.Greenlet[[], None] | None = None
 
     @property
     def version(self) -> int:
@@ -76,7 +77,12 @@
 
     def start(self) -> None:
         """Begins to follow the store."""
-        gevent.spawn(self._follow)
+        self._task = gevent.spawn(self._follow)
+
+    def stop(self) -> None:
+        """Ends following the store."""
+        if self._task is not None:
+            self._task.kill(block=False)
 
     def _follow(self) -> None:
         after = -1
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -418,7 +418,7 @@
             return False
         return self._needs.timers.now() - link.heard_at < IDLE_SILENT_S
 
-    def close(self) -> None:
+    def stop(self) -> None:
         """Ends all links."""
         for link in list(self._links.values()):
             link.fail("idle")
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -22,16 +22,8 @@
 from flamingolug.gateway import _service
 from flamingolug.gateway import _upstreams
 
-_PREFIX = "gateway."
-
-
-def gateway_parts() -> dict[str, kernel.Plugin]:
-    """Returns the registered parts that make up a gateway."""
-    return {
-        name: plugin
-        for name, plugin in kernel.registered().items()
-        if name.startswith(_PREFIX)
-    }
+#: Name of the program that these parts belong to.
+PROGRAM = "gateway"
 
 
 def _environment_of(built: kernel.Kernel) -> _environment.Environment:
@@ -58,27 +50,27 @@
     return built.get("gateway.random", random.Random)
 
 
-@kernel.plugin("gateway.random")
+@kernel.plugin("gateway.random", (), PROGRAM)
 def _build_random(built: kernel.Kernel) -> object:
     del built
     return random.Random()
 
 
-@kernel.plugin("gateway.metrics")
+@kernel.plugin("gateway.metrics", (), PROGRAM)
 def _build_metrics(built: kernel.Kernel) -> object:
     return _metrics.Metrics(
         telemetry.Counters(_settings(built).identity.name, "", 0.0)
     )
 
 
-@kernel.plugin("gateway.store", ("gateway.metrics",))
+@kernel.plugin("gateway.store", ("gateway.metrics",), PROGRAM)
 def _build_store(built: kernel.Kernel) -> object:
     return _environment_of(built).make_store(
         _settings(built).store, _metrics_of(built).count_store_call
     )
 
 
-@kernel.plugin("gateway.holder", ("gateway.store",))
+@kernel.plugin("gateway.holder", ("gateway.store",), PROGRAM)
 def _build_holder(built: kernel.Kernel) -> object:
     environment = _environment_of(built)
     return _holder.Holder(
@@ -90,12 +82,12 @@
     )
 
 
-@kernel.plugin("gateway.pressure")
+@kernel.plugin("gateway.pressure", (), PROGRAM)
 def _build_pressure(built: kernel.Kernel) -> object:
     return _pressure.PressureBelow(_timers(built).now)
 
 
-@kernel.plugin("gateway.gate", ("gateway.metrics", "gateway.pressure"))
+@kernel.plugin("gateway.gate", ("gateway.metrics", "gateway.pressure"), PROGRAM)
 def _build_gate(built: kernel.Kernel) -> object:
     return _gate.Gate(
         _gate.Needs(
@@ -114,7 +106,9 @@
     )
 
 
-@kernel.plugin("gateway.link-needs", ("gateway.holder", "gateway.metrics"))
+@kernel.plugin(
+    "gateway.link-needs", ("gateway.holder", "gateway.metrics"), PROGRAM
+)
 def _build_link_needs(built: kernel.Kernel) -> object:
     holder = built.get("gateway.holder", _holder.Holder)
 
@@ -136,12 +130,12 @@
     )
 
 
-@kernel.plugin("gateway.links", ("gateway.link-needs",))
+@kernel.plugin("gateway.links", ("gateway.link-needs",), PROGRAM)
 def _build_links(built: kernel.Kernel) -> object:
     return _link.Links(built.get("gateway.link-needs", _link.Needs))
 
 
-@kernel.plugin("gateway.directory", ("gateway.store",))
+@kernel.plugin("gateway.directory", ("gateway.store",), PROGRAM)
 def _build_directory(built: kernel.Kernel) -> object:
     return _directory.Directory(
         _directory.Needs(
@@ -157,7 +151,9 @@
     )
 
 
-@kernel.plugin("gateway.announcer", ("gateway.directory", "gateway.gate"))
+@kernel.plugin(
+    "gateway.announcer", ("gateway.directory", "gateway.gate"), PROGRAM
+)
 def _build_announcer(built: kernel.Kernel) -> object:
     gate = built.get("gateway.gate", _gate.Gate)
     return _announcer.Announcer(
@@ -173,6 +169,7 @@
 @kernel.plugin(
     "gateway.upstreams",
     ("gateway.directory", "gateway.gate", "gateway.links", "gateway.random"),
+    PROGRAM,
 )
 def _build_upstreams(built: kernel.Kernel) -> object:
     return _upstreams.Upstreams(
@@ -187,7 +184,9 @@
     )
 
 
-@kernel.plugin("gateway.handler", ("gateway.upstreams", "gateway.holder"))
+@kernel.plugin(
+    "gateway.handler", ("gateway.upstreams", "gateway.holder"), PROGRAM
+)
 def _build_handler(built: kernel.Kernel) -> object:
     directory = built.get("gateway.directory", _directory.Directory)
     return _request.Handler(
@@ -205,7 +204,7 @@
     )
 
 
-@kernel.plugin("gateway.entry", ("gateway.handler",))
+@kernel.plugin("gateway.entry", ("gateway.handler",), PROGRAM)
 def _build_entry(built: kernel.Kernel) -> object:
     return _entry.Entry(
         _entry.Needs(
@@ -217,7 +216,9 @@
     )
 
 
-@kernel.plugin("gateway.peer-server", ("gateway.link-needs", "gateway.gate"))
+@kernel.plugin(
+    "gateway.peer-server", ("gateway.link-needs", "gateway.gate"), PROGRAM
+)
 def _build_peer_server(built: kernel.Kernel) -> object:
     return _peer_server.PeerServer(
         _peer_server.Needs(
@@ -230,6 +231,7 @@
 @kernel.plugin(
     "gateway.service",
     ("gateway.gate", "gateway.holder", "gateway.announcer", "gateway.handler"),
+    PROGRAM,
 )
 def _build_service(built: kernel.Kernel) -> object:
     environment = _environment_of(built)
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -19,7 +19,6 @@
 from flamingolug.gateway import _entry
 from flamingolug.gateway import _environment
 from flamingolug.gateway import _gate
-from flamingolug.gateway import _link
 from flamingolug.gateway import _peer_server
 from flamingolug.gateway import _plugins
 from flamingolug.gateway import _request
@@ -76,11 +75,12 @@
 
     def __init__(self, environment: _environment.Environment) -> None:
         """Builds the parts, starts them and listens."""
+        self._timers = timing.GeventTimers()
         self.parts = kernel.Kernel(
-            _plugins.gateway_parts(),
+            kernel.registered(_plugins.PROGRAM),
             {
                 "gateway.environment": environment,
-                "gateway.timers": timing.GeventTimers(),
+                "gateway.timers": self._timers,
             },
         )
         self.parts.start()
@@ -88,12 +88,15 @@
         self._listeners = _listen(self.parts, environment)
 
     def close(self) -> None:
-        """Closes the listening sockets at once."""
+        """Ends everything at once."""
         self._listeners.close_all()
+        self.parts.stop()
+        self._timers.stop()
 
     def stop(self) -> None:
         """Leaves without interrupting a request in progress."""
         _stop_gracefully(self.parts, self._listeners, self._grace_s)
+        self.close()
 
 
 def run(environment: _environment.Environment) -> int:
@@ -173,7 +176,8 @@
     telemetry.event(_LOGGER, "node.stopping", grace_s=grace_s)
     built.get("gateway.handler", _request.Handler).leaving = True
     gate.leave()
-    gevent.spawn(built.get("gateway.announcer", _announcer.Announcer).stop)
+    announcer = built.get("gateway.announcer", _announcer.Announcer)
+    gevent.spawn(announcer.withdraw)
     until = began + grace_s - STOP_MARGIN_S
     while timers.now() < until:
         gevent.sleep(_POLL_S)
@@ -186,7 +190,6 @@
             break
     left = entry.busy or gate.busy
     listeners.close_all()
-    built.get("gateway.links", _link.Links).close()
     telemetry.event(
         _LOGGER,
         "node.stopped",
--- a/flamingolug/kernel/_registry.py
+++ b/flamingolug/kernel/_registry.py
@@ -19,18 +19,20 @@
     requires: tuple[str, ...]
     #: Builds the part; it may look up what it requires in the kernel.
     build: Callable[["_kernel.Kernel"], object]
+    #: Program that the part belongs to, such as `node`.
+    program: str = "node"
 
 
 _PLUGINS: dict[str, Plugin] = {}
 
 
 def plugin(
-    name: str, requires: tuple[str, ...] = ()
+    name: str, requires: tuple[str, ...] = (), program: str = "node"
 ) -> Callable[
     [Callable[["_kernel.Kernel"], object]],
     Callable[["_kernel.Kernel"], object],
 ]:
-    """Registers the decorated builder as plug-in `name`.
+    """Registers the decorated builder as plug-in `name` of a program.
 
     Raises:
         KernelError: another plug-in already has this name.
@@ -44,12 +46,16 @@
                 f"plug-in {name!r} is registered twice; rename one of them",
                 step="kernel.register",
             )
-        _PLUGINS[name] = Plugin(name, requires, build)
+        _PLUGINS[name] = Plugin(name, requires, build, program)
         return build
 
     return register
 
 
-def registered() -> dict[str, Plugin]:
-    """Returns a copy of all registered plug-ins by name."""
-    return dict(_PLUGINS)
+def registered(program: str = "node") -> dict[str, Plugin]:
+    """Returns the registered plug-ins of one program by name."""
+    return {
+        name: found
+        for name, found in _PLUGINS.items()
+        if found.program == program
+    }
--- a/flamingolug/kernel/tests/test_kernel.py
+++ b/flamingolug/kernel/tests/test_kernel.py
@@ -68,3 +68,17 @@
         with self.assertRaises(ExceptionGroup) as caught:
             built.stop()
         self.assertEqual(len(caught.exception.exceptions), 2)
+
+
+class ProgramTest(unittest.TestCase):
+    """Parts of several programs that are imported into one process."""
+
+    def test_each_program_gets_its_own_parts(self) -> None:
+        @kernel.plugin("test.part", (), "test-program")
+        def build(built: kernel.Kernel) -> object:
+            del built
+            return object()
+
+        del build
+        self.assertIn("test.part", kernel.registered("test-program"))
+        self.assertNotIn("test.part", kernel.registered())
