--- a/flamingolug/platform/tests/deployment.py
+++ b/flamingolug/platform/tests/deployment.py
@@ -2,6 +2,8 @@
 
 import itertools
 import os
+import time
+from collections.abc import Callable
 from collections.abc import Collection
 
 import gevent
@@ -10,6 +12,7 @@
 from flamingolug import gateway
 from flamingolug import http1
 from flamingolug import platform
+from flamingolug.gateway import _directory
 from flamingolug_standins import leased_store
 from flamingolug_standins import sealing_server
 
@@ -20,8 +23,24 @@
 _APP = 24
 _LINK = 25
 _STORE = 26
-#: Ports of one test process; processes that run side by side use others.
-_BASE = 20_000 + (os.getpid() % 400) * 100
+#: Ports of one test process; processes that run side by side use others, and
+#: all stay below those that outgoing connections get.
+_BASE = 20_000 + (os.getpid() % 120) * 100
+#: Longest wait for a state that must come, seconds; only a fault needs it.
+MAX_WAIT_S = 20.0
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Waits until a condition holds.
+
+    Raises:
+        AssertionError: it does not hold in time.
+    """
+    until = time.monotonic() + MAX_WAIT_S
+    while not condition():
+        if time.monotonic() > until:
+            raise AssertionError(f"never happened: {what}")
+        gevent.sleep(0.02)
 
 
 def route(name: str, service: str, **changes: object) -> dict[str, object]:
@@ -94,21 +113,17 @@
 
     def wait_ready(self) -> None:
         """Waits until the node has a configuration."""
-        for _ in range(200):
-            if self.ask_ready() == 200:
-                return
-            gevent.sleep(0.02)
-        raise AssertionError("not ready")
+        wait_until(lambda: self.ask_ready() == 200, "node is ready")
 
     def wait_informed(self, services: Collection[str]) -> None:
         """Waits until the node knows an upstream of each service."""
-        directory = self.node.parts.get("gateway.directory", object)
-        for _ in range(300):
-            known = directory.services()  # type: ignore[attr-defined]
-            if set(services) <= set(known):
-                return
-            gevent.sleep(0.02)
-        raise AssertionError("upstreams are not known")
+        directory = self.node.parts.get(
+            "gateway.directory", _directory.Directory
+        )
+        wait_until(
+            lambda: set(services) <= set(directory.services()),
+            "upstreams are known",
+        )
 
     def ask_ready(self) -> int:
         """Returns the status of the readiness address."""
--- a/flamingolug/platform/tests/test_path.py
+++ b/flamingolug/platform/tests/test_path.py
@@ -7,6 +7,8 @@
 
 from flamingolug import errors
 from flamingolug import http1
+from flamingolug.gateway import _gate
+from flamingolug.gateway import _holder
 from flamingolug.platform.tests import deployment
 
 _ROUTES = [
@@ -136,19 +138,17 @@
         )
 
     def test_a_leaving_caller_stops_its_work(self) -> None:
-        self.shelf.server.service_s = 0.6
+        self.shelf.server.service_s = 60.0
+        gate = self.shelf.node.parts.get("gateway.gate", _gate.Gate)
         conn = self.front.connect()
         conn.send(deployment.request("read", "k1"))
-        gevent.sleep(0.1)
-        gate = self.shelf.node.parts.get("gateway.gate", object)
+        deployment.wait_until(lambda: gate.busy, "the call runs")
         conn.close()
-        gevent.sleep(0.2)
-        self.assertFalse(gate.busy)  # type: ignore[attr-defined]
+        deployment.wait_until(lambda: not gate.busy, "the call is given up")
 
     def test_a_route_timeout_is_kept(self) -> None:
-        self.shelf.server.service_s = 2.0
-        with gevent.Timeout(1.9):
-            response = deployment.ask(self.front, "read", "l1")
+        self.shelf.server.service_s = 60.0
+        response = deployment.ask(self.front, "read", "l1")
         self.assertEqual(response.status, 504)
 
 
@@ -221,10 +221,13 @@
         self.assertEqual(deployment.ask(self.front, "read", "q1").status, 200)
 
     def test_entries_are_back_after_leases_lapse(self) -> None:
-        self.fleet.store.drop_leases()
-        gevent.sleep(1.5)
-        keys = self.fleet.store.keys()
-        self.assertIn(f"fl/upstreams/{self.shelf.server.id}", keys)
+        store = self.fleet.store
+        key = f"fl/upstreams/{self.shelf.server.id}"
+        store.drop_leases()
+        self.assertIsNone(store.get(key))
+        deployment.wait_until(
+            lambda: store.get(key) is not None, "entry is back"
+        )
         self.assertEqual(deployment.ask(self.front, "read", "r1").status, 200)
 
     def test_another_upstream_at_the_address_runs_nothing(self) -> None:
@@ -247,19 +250,27 @@
     def _put(self, version: int, name: str) -> None:
         routes = [deployment.route(name, "shelf")]
         self.fleet.store.put("op/config", deployment.document(version, routes))
-        gevent.sleep(0.2)
+
+    def _wait_for(self, version: int) -> None:
+        holder = self.front.node.parts.get("gateway.holder", _holder.Holder)
+        deployment.wait_until(
+            lambda: holder.version == version, f"version {version} in force"
+        )
 
     def test_a_newer_version_is_in_force_and_an_older_one_never(self) -> None:
         self._put(9, "fresh")
+        self._wait_for(9)
         self.assertEqual(deployment.ask(self.front, "fresh", "t1").status, 200)
         self._put(8, "stale")
+        self._put(10, "fresh")
+        self._wait_for(10)
         self.assertEqual(deployment.ask(self.front, "fresh", "t2").status, 200)
         self.assertEqual(deployment.ask(self.front, "stale", "t3").status, 404)
 
     def test_a_version_arrives_after_history_was_lost(self) -> None:
         self.fleet.store.forget_history()
         self._put(12, "later")
-        gevent.sleep(0.8)
+        self._wait_for(12)
         self.assertEqual(deployment.ask(self.front, "later", "u1").status, 200)
 
     def test_the_fleet_serves_while_the_store_is_away(self) -> None:
