--- a/flamingolug/gateway/_announcer.py
+++ b/flamingolug/gateway/_announcer.py
@@ -141,7 +141,9 @@
             return
         now = self._needs.timers.now()
         if not self._lease:
-            self._lease = self._needs.store.grant_lease(LEASE_S)
+            self._lease = self._needs.store.grant_lease(
+                max(LEASE_S, self._needs.cfg.min_lease_s)
+            )
             self._renewed_at = now
         elif now - self._renewed_at > RENEW_S * 0.9:
             self._needs.store.renew_lease(self._lease)
