Review: one reader of frames, one list of connection headers, no dead constants

Cause: both ends of a link read and decoded frames in loops of their own; the gate handled 421 twice; statuses without a body and the names of connection headers stood in two places; a graceful stop made a second timer service. Change: Wire.read yields frames for both ends; calls takes the header names from http1; REQUEST_INTERVAL_S, RouteTable.version and the revision that Directory.find returned were used by nothing and are gone. Behaviour as before, but that unreadable bytes from a called peer are now logged as a warning like those from a calling one.

--- a/flamingolug/calls/_headers.py
+++ b/flamingolug/calls/_headers.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from flamingolug import http1
+
 HEADER_KIND = "Flamingolug-Kind"
 HEADER_CALLER = "Flamingolug-Caller"
 #: Milliseconds that the caller waits at most; it can only shorten.
@@ -18,24 +20,11 @@
 HEADER_PEER = "Flamingolug-Peer"
 HEADER_ATTEMPTS = "Flamingolug-Attempts"
 
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "content-length",
-        "date",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "server",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+_HOP_BY_HOP = frozenset(name.decode() for name in http1.CONNECTION_HEADERS) | {
+    "date",
+    "host",
+    "server",
+}
 
 
 def forwardable(
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -101,12 +101,12 @@
         if self._task is not None:
             self._task.kill(block=False)
 
-    def find(self, upstream_id: str) -> tuple[_model.Upstream, int] | None:
-        """Returns the entry of an upstream and its revision."""
+    def find(self, upstream_id: str) -> _model.Upstream | None:
+        """Returns the entry of an upstream."""
         known = self._known.get(PREFIX + upstream_id)
         if known is None or known.lapsed_at is not None:
             return None
-        return known.upstream, known.revision
+        return known.upstream
 
     def upstreams_of(self, service: str) -> list[_model.Upstream]:
         """Returns the upstreams of a service that take work."""
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -377,17 +377,15 @@
         """Returns the outcome of a call that was answered."""
         names = self._needs.names
         self._pool.give_back(conn, response)
-        if response.header(names.not_run):
+        refused = bool(response.header(names.not_run))
+        if refused:
             self._note_failure(True)
-            if response.status == 421:
-                self._misdirected = call.upstream_id
-                self._needs.announce()
-                return _model.not_run("not-here", arrived=True)
-            return _model.not_run("upstream-refused", arrived=True)
         if response.status == 421:
             self._misdirected = call.upstream_id
             self._needs.announce()
             return _model.not_run("not-here", arrived=True)
+        if refused:
+            return _model.not_run("upstream-refused", arrived=True)
         sealed = bool(response.header(names.seal))
         encoded = bool(response.header(b"content-encoding"))
         if response.status < 300 and (not sealed or encoded):
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -6,6 +6,7 @@
 
 import logging
 from collections.abc import Callable
+from collections.abc import Iterator
 from typing import NamedTuple
 
 import gevent
@@ -41,8 +42,6 @@
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 #: Seconds after which a link to an unreachable peer is tried again.
 RECONNECT_AFTER_S = 0.5
-#: Shortest time between two requests for a newer configuration, seconds.
-REQUEST_INTERVAL_S = 0.5
 
 
 def to_load(frame: _frames.LoadFrame) -> _model.LoadReport:
@@ -121,13 +120,29 @@
             self._loop.run_callback(self._flush)
         return True
 
-    def receive(self) -> bytes:
-        """Returns the next bytes, empty when the link has ended."""
-        try:
-            return self._stream.recv(_READ_BYTES)
-        except OSError:
-            # The reason is told by whoever watches the link.
-            return b""
+    def read(self) -> Iterator[list[_frames.Frame]]:
+        """Yields the frames that each read completes, until the link ends."""
+        reader = _frames.FrameReader()
+        while True:
+            try:
+                data = self._stream.recv(_READ_BYTES)
+            except OSError:
+                # The reason is told by whoever watches the link.
+                return
+            if not data:
+                return
+            try:
+                frames = reader.feed(data)
+            except msgspec.DecodeError as exc:
+                telemetry.event(
+                    _LOGGER,
+                    "link.unreadable",
+                    level=logging.WARNING,
+                    peer=self.peer,
+                    error=exc,
+                )
+                return
+            yield frames
 
     def close(self) -> None:
         """Ends the link."""
@@ -313,25 +328,11 @@
             _frames.Hello(identity.name, identity.zone, self._needs.version())
         )
         self._connected.set()
-        self._read(self._wire)
-        self.fail("closed")
-
-    def _read(self, wire: Wire) -> None:
-        reader = _frames.FrameReader()
-        while not self.lost:
-            data = wire.receive()
-            if not data:
-                return
+        for frames in self._wire.read():
             self.heard_at = self._needs.timers.now()
-            try:
-                frames = reader.feed(data)
-            except msgspec.DecodeError as exc:
-                telemetry.event(
-                    _LOGGER, "link.unreadable", peer=self.peer, error=exc
-                )
-                return
             for frame in frames:
-                self._take(wire, frame)
+                self._take(self._wire, frame)
+        self.fail("closed")
 
     def _take(self, wire: Wire, frame: _frames.Frame) -> None:
         if isinstance(frame, _frames.ResultFrame):
--- a/flamingolug/gateway/_peer_server.py
+++ b/flamingolug/gateway/_peer_server.py
@@ -54,7 +54,9 @@
         wire.send(self._status())
         tickets: dict[int, _slots.Ticket] = {}
         try:
-            self._read(wire, tickets)
+            for frames in wire.read():
+                for frame in frames:
+                    self._take(wire, tickets, frame)
         finally:
             self._wires.discard(wire)
             wire.close()
@@ -82,28 +84,6 @@
             _link.from_load(gate.load()),
         )
 
-    def _read(
-        self, wire: _link.Wire, tickets: dict[int, _slots.Ticket]
-    ) -> None:
-        reader = _frames.FrameReader()
-        while True:
-            data = wire.receive()
-            if not data:
-                return
-            try:
-                frames = reader.feed(data)
-            except msgspec.DecodeError as exc:
-                telemetry.event(
-                    _LOGGER,
-                    "link.unreadable",
-                    level=logging.WARNING,
-                    peer=wire.peer,
-                    error=exc,
-                )
-                return
-            for frame in frames:
-                self._take(wire, tickets, frame)
-
     def _take(
         self,
         wire: _link.Wire,
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -95,7 +95,9 @@
 
     def stop(self) -> None:
         """Leaves without interrupting a request in progress."""
-        _stop_gracefully(self.parts, self._listeners, self._grace_s)
+        _stop_gracefully(
+            self.parts, self._listeners, self._timers, self._grace_s
+        )
         self.close()
 
 
@@ -166,10 +168,12 @@
 
 
 def _stop_gracefully(
-    built: kernel.Kernel, listeners: Listeners, grace_s: float
+    built: kernel.Kernel,
+    listeners: Listeners,
+    timers: timing.Timers,
+    grace_s: float,
 ) -> None:
     """Leaves without interrupting a request in progress."""
-    timers: timing.Timers = timing.GeventTimers()
     began = timers.now()
     entry = built.get("gateway.entry", _entry.Entry)
     gate = built.get("gateway.gate", _gate.Gate)
--- a/flamingolug/gateway/_routes.py
+++ b/flamingolug/gateway/_routes.py
@@ -8,7 +8,6 @@
 
     def __init__(self, cfg: _model.Configuration) -> None:
         """Sorts the routes of each host by falling length of prefix."""
-        self.version = cfg.version
         self._hosts: dict[bytes, list[tuple[bytes, _model.Route]]] = {}
         self._credits: dict[str, dict[str, float]] = {}
         for route in cfg.routes:
--- a/flamingolug/gateway/_service.py
+++ b/flamingolug/gateway/_service.py
@@ -121,10 +121,9 @@
 
     def _is_outdated(self, report: _model.Report) -> bool:
         """Returns whether an earlier run of this node knew a later report."""
-        found = self._needs.directory.find(report.id)
-        if found is None:
+        known = self._needs.directory.find(report.id)
+        if known is None:
             return False
-        known = found[0]
         if known.born_ms != report.born_ms:
             return report.born_ms < known.born_ms
         if report.sequence < known.sequence:
--- a/flamingolug/http1/__init__.py
+++ b/flamingolug/http1/__init__.py
@@ -5,6 +5,7 @@
 from flamingolug.http1._client import open_connection
 from flamingolug.http1._format import format_request
 from flamingolug.http1._format import format_response
+from flamingolug.http1._parse import CONNECTION_HEADERS
 from flamingolug.http1._parse import end_to_end
 from flamingolug.http1._parse import Headers
 from flamingolug.http1._parse import MessageLimits
@@ -18,6 +19,7 @@
 from flamingolug.http1._stream import Stream
 
 __all__ = [
+    "CONNECTION_HEADERS",
     "Connection",
     "Handle",
     "Headers",
--- a/flamingolug/http1/_format.py
+++ b/flamingolug/http1/_format.py
@@ -16,7 +16,6 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
-_NO_LENGTH = (204, 304)
 
 
 def format_request(
@@ -52,11 +51,11 @@
     parts = [b"HTTP/1.1 ", str(status).encode(), b" ", reason, b"\r\n"]
     for name, value in headers:
         parts += (name, b": ", value, b"\r\n")
-    if status not in _NO_LENGTH:
+    if status not in _parse.NO_BODY:
         parts += (b"content-length: ", str(len(body)).encode(), b"\r\n")
     if close:
         parts.append(b"connection: close\r\n")
     parts.append(b"\r\n")
-    if not head and status not in _NO_LENGTH:
+    if not head and status not in _parse.NO_BODY:
         parts.append(body)
     return b"".join(parts)
--- a/flamingolug/http1/_parse.py
+++ b/flamingolug/http1/_parse.py
@@ -26,7 +26,8 @@
         b"proxy-authorization",
     )
 )
-_NO_BODY = (204, 304)
+#: Statuses whose responses have neither a body nor a length.
+NO_BODY = (204, 304)
 
 
 def end_to_end(headers: Headers) -> Headers:
@@ -237,7 +238,7 @@
         if self._status < 200:
             return
         self._in_body = True
-        self._framed = self._status in _NO_BODY or any(
+        self._framed = self._status in NO_BODY or any(
             name in (b"content-length", b"transfer-encoding")
             for name, _ in self._headers
         )
