--- a/flamingolug/peers/_endpoint.py
+++ b/flamingolug/peers/_endpoint.py
@@ -91,8 +91,7 @@
 
     def stop(self) -> None:
         """Closes the endpoint."""
-        self._sock.close()
-        self._monitor.close()
+        self._sock.close_with(self._monitor)
 
     def reply(
         self,
--- a/flamingolug/peers/_link.py
+++ b/flamingolug/peers/_link.py
@@ -154,8 +154,7 @@
     def close(self) -> None:
         """Closes the link and fails what is pending."""
         self._closed = True
-        self._sock.close()
-        self._monitor.close()
+        self._sock.close_with(self._monitor)
         self._fail_pending("link closed")
 
     def is_idle(self) -> bool:
@@ -252,8 +251,7 @@
     def _replace(self) -> None:
         """Opens a fresh connection and settles what is pending there."""
         self._options.counters.add(LINK_RESETS)
-        self._sock.close()
-        self._monitor.close()
+        self._sock.close_with(self._monitor)
         self._open()
         came = self._ready.wait(SETTLE_S)
         self._replacing = False
--- a/flamingolug/peers/_socket.py
+++ b/flamingolug/peers/_socket.py
@@ -60,6 +60,18 @@
             self._readable.wait()
         return None
 
+    def close_with(self, monitor: "GreenSocket") -> None:
+        """Closes the socket and the monitor that tells its events.
+
+        The library's thread hands events to the monitor with a blocking send.
+        A monitor that is closed while events can still occur stops that
+        thread for good, and with it every link of the process.
+        """
+        if not self._closed:
+            self._sock.disable_monitor()
+        monitor.close()
+        self.close()
+
     def close(self) -> None:
         """Closes the socket and wakes its reader."""
         if self._closed:
--- a/flamingolug/peers/tests/test_links.py
+++ b/flamingolug/peers/tests/test_links.py
@@ -14,6 +14,9 @@
 from flamingolug.tests import scenario
 
 _WAIT_S = 10.0
+#: Rounds after which a thread of the library that blocks on a closed monitor
+#: has shown itself; without an end to monitoring it took two.
+_CLOSING_ROUNDS = 25
 
 
 def _call(number: int) -> peers.CallMessage:
@@ -194,3 +197,23 @@
                 gevent.sleep(0.01)
         self.side.on_call(self._reply)
         self.assertEqual(self._request(5)["id"], 5)
+
+    def test_links_that_close_while_they_fail_leave_the_others_working(
+        self,
+    ) -> None:
+        for number in range(_CLOSING_ROUNDS):
+            address = scenario.free_address()
+            side = _Side(address, "the shared secret")
+            side.on_call(lambda inbound: None)
+            many = [_links("the shared secret") for _ in range(4)]
+            for each in many:
+                each.to(address).send(
+                    peers.MessageType.CANCEL, {"id": number, "org": 1}
+                )
+            gevent.sleep(0.01)
+            side.endpoint.stop()
+            gevent.sleep((0.0, 0.001, 0.003, 0.1)[number % 4])
+            for each in many:
+                each.stop()
+        self.side.on_call(self._reply)
+        self.assertEqual(self._request(30)["id"], 30)
