--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -68,6 +68,8 @@
     confirmed: Callable[[_model.Upstream], bool]
     #: Called with the key when an entry vanishes.
     on_removed: Callable[[str], None]
+    #: Asks a linked node for its entries; `take_from_peer` gets the answer.
+    ask_peer: Callable[[], None]
 
 
 class _Known:
@@ -87,6 +89,8 @@
         """Starts empty."""
         #: Set once all entries have been read.
         self.synced = event.Event()
+        #: Whether the store gave no entries yet and nobody else did.
+        self.uninformed = False
         self._needs = needs
         self._task: gevent.Greenlet[[], None] | None = None
         self._known: dict[str, _Known] = {}
@@ -131,6 +135,27 @@
         """Returns how many nodes have an entry."""
         return len({known.upstream.host for known in self._known.values()})
 
+    def entries(self) -> list[store.Item]:
+        """Returns the entries of the upstreams that take work."""
+        return [
+            store.Item(key, encode_entry(known.upstream), known.revision)
+            for key, known in self._known.items()
+            if known.upstream.state is _model.UpstreamState.READY
+        ]
+
+    def take_from_peer(self, items: list[store.Item]) -> None:
+        """Takes in the entries of a peer while the store has given none.
+
+        What the store says later replaces them.
+        """
+        if self.synced.is_set() or not items:
+            return
+        self.uninformed = False
+        telemetry.event(_LOGGER, "directory.from_peer", entries=len(items))
+        for item in items:
+            if item.key not in self._known:
+                self.apply(item)
+
     def apply(self, item: store.Item) -> None:
         """Takes in one entry or its removal."""
         known = self._known.get(item.key)
@@ -218,6 +243,9 @@
                 after = -1
                 continue
             except errors.StoreError as exc:
+                if not self.synced.is_set() and not self._known:
+                    self.uninformed = True
+                    self._needs.ask_peer()
                 backoff.wait(exc)
                 continue
             backoff.succeeded()
@@ -242,5 +270,6 @@
         for key in list(self._known):
             if key not in present:
                 self._remove(key)
+        self.uninformed = False
         self.synced.set()
         return page.as_of
--- a/flamingolug/gateway/_frames.py
+++ b/flamingolug/gateway/_frames.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from flamingolug.gateway import _repeats
+
 #: A frame holds one request or response body and its head.
 MAX_FRAME_BYTES = 128 * 1024 * 1024
 _LENGTH = struct.Struct(">I")
@@ -27,11 +29,11 @@
 
     number: int
     request_id: str
-    upstream_id: str
-    caller: str
-    method: bytes
+    upstream_id: _repeats.Token
+    caller: _repeats.Token
+    method: _repeats.Token
     target: bytes
-    headers: list[tuple[bytes, bytes]]
+    headers: list[_repeats.Field]
     body: bytes
     #: Milliseconds until nobody waits for the answer.
     left_ms: int
@@ -39,7 +41,7 @@
     wait_ms: int
     rank: int
     idempotent: bool
-    route: str
+    route: _repeats.Token
 
 
 class LoadFrame(msgspec.Struct, array_like=True, frozen=True):
@@ -66,7 +68,7 @@
     nested: bool
     load: LoadFrame | None
     status: int = 0
-    headers: list[tuple[bytes, bytes]] = []
+    headers: list[_repeats.Field] = []
     body: bytes = b""
 
 
@@ -101,6 +103,24 @@
     document: bytes
 
 
+class EntriesRequest(msgspec.Struct, array_like=True, tag=9, frozen=True):
+    """Asks for the entries of all upstreams; the store gives none."""
+
+
+class Entry(msgspec.Struct, array_like=True, frozen=True):
+    """The entry of one upstream, as stored."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class EntriesFrame(msgspec.Struct, array_like=True, tag=10, frozen=True):
+    """The entries of all upstreams that take work."""
+
+    entries: list[Entry]
+
+
 Frame = (
     Hello
     | CallFrame
@@ -110,6 +130,8 @@
     | Status
     | ConfigurationRequest
     | ConfigurationFrame
+    | EntriesRequest
+    | EntriesFrame
 )
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Frame)
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -15,11 +15,13 @@
 
 from flamingolug import errors
 from flamingolug import http1
+from flamingolug import store
 from flamingolug import telemetry
 from flamingolug import timing
 from flamingolug.gateway import _frames
 from flamingolug.gateway import _metrics
 from flamingolug.gateway import _model
+from flamingolug.gateway import _repeats
 
 _LOGGER = logging.getLogger(__name__)
 _READ_BYTES = 262144
@@ -83,6 +85,10 @@
     #: Takes in the state of the upstream beside a peer: address, upstream
     #: taking work, load.
     on_status: Callable[[tuple[str, int], str, _model.LoadReport], None]
+    #: Entries of the upstreams that take work.
+    entries: Callable[[], list[store.Item]]
+    #: Takes in the entries that a peer knows.
+    on_entries: Callable[[list[store.Item]], None]
 
 
 class Wire:
@@ -94,6 +100,10 @@
     def __init__(self, stream: http1.Stream, peer: str) -> None:
         """Takes over a connected stream."""
         self.peer = peer
+        #: Shortens what this side sends.
+        self.writer = _repeats.Writer()
+        #: Restores what the other side has shortened.
+        self.reader = _repeats.Reader()
         self._stream = stream
         self._buffer: list[bytes] = []
         self._buffered = 0
@@ -134,16 +144,20 @@
             try:
                 frames = reader.feed(data)
             except msgspec.DecodeError as exc:
-                telemetry.event(
-                    _LOGGER,
-                    "link.unreadable",
-                    level=logging.WARNING,
-                    peer=self.peer,
-                    error=exc,
-                )
+                self.note_unreadable(exc)
                 return
             yield frames
 
+    def note_unreadable(self, exc: msgspec.DecodeError) -> None:
+        """Tells that the peer sent what can't be read."""
+        telemetry.event(
+            _LOGGER,
+            "link.unreadable",
+            level=logging.WARNING,
+            peer=self.peer,
+            error=exc,
+        )
+
     def close(self) -> None:
         """Ends the link."""
         self._stream.close()
@@ -233,30 +247,37 @@
         if not self.pending:
             # Silence counts from the first call that waits for an answer.
             self.heard_at = max(self.heard_at, now)
+        wire = self._wire
+        if wire is None:
+            raise self._unreachable()
         self._numbers += 1
         pending = Pending(self._numbers)
+        writer = wire.writer
         frame = _frames.CallFrame(
             pending.number,
             call.request_id,
-            call.upstream_id,
-            call.caller,
-            call.method,
+            writer.write(call.upstream_id.encode()),
+            writer.write(call.caller.encode()),
+            writer.write(call.method),
             call.target,
-            call.headers,
+            writer.write_fields(call.headers),
             call.body,
             int((call.deadline - now) * 1000),
             max(int((call.wait_until - now) * 1000), 0),
             call.rank,
             call.idempotent,
-            call.route,
+            writer.write(call.route.encode()),
         )
-        if self._wire is None or not self._wire.send(frame):
-            raise errors.PeerUnreachableError(
-                "no link", step="link.call", peer=self.peer
-            )
+        if not wire.send(frame):
+            raise self._unreachable()
         self.pending[pending.number] = pending
         return pending
 
+    def _unreachable(self) -> errors.PeerUnreachableError:
+        return errors.PeerUnreachableError(
+            "no link", step="link.call", peer=self.peer
+        )
+
     def cancel(self, pending: Pending) -> None:
         """Tells the peer that nobody waits for a call any more."""
         if self.pending.pop(pending.number, None) is None:
@@ -328,17 +349,22 @@
             _frames.Hello(identity.name, identity.zone, self._needs.version())
         )
         self._connected.set()
-        for frames in self._wire.read():
-            self.heard_at = self._needs.timers.now()
-            for frame in frames:
-                self._take(self._wire, frame)
+        try:
+            for frames in self._wire.read():
+                self.heard_at = self._needs.timers.now()
+                for frame in frames:
+                    self._take(self._wire, frame)
+        except msgspec.DecodeError as exc:
+            self._wire.note_unreadable(exc)
         self.fail("closed")
 
     def _take(self, wire: Wire, frame: _frames.Frame) -> None:
         if isinstance(frame, _frames.ResultFrame):
+            # Read in any case: the fields may define numbers.
+            outcome = _to_outcome(frame, wire.reader)
             pending = self.pending.pop(frame.number, None)
             if pending is not None:
-                pending.result.set(_to_outcome(frame))
+                pending.result.set(outcome)
             return
         if isinstance(frame, _frames.Status):
             self._needs.on_status(
@@ -360,13 +386,31 @@
         return
     if isinstance(frame, _frames.ConfigurationFrame):
         needs.on_document(frame.document)
+        return
+    if isinstance(frame, _frames.EntriesRequest):
+        entries = [
+            _frames.Entry(item.key, item.value or b"", item.revision)
+            for item in needs.entries()
+        ]
+        wire.send(_frames.EntriesFrame(entries))
+        return
+    if isinstance(frame, _frames.EntriesFrame):
+        needs.on_entries(
+            [
+                store.Item(entry.key, entry.value, entry.revision)
+                for entry in frame.entries
+            ]
+        )
 
 
-def _to_outcome(frame: _frames.ResultFrame) -> _model.Outcome:
+def _to_outcome(
+    frame: _frames.ResultFrame, reader: _repeats.Reader
+) -> _model.Outcome:
     verdict = _model.Verdict(frame.verdict)
     response = None
     if verdict is _model.Verdict.ANSWERED:
-        response = http1.Response(frame.status, frame.headers, frame.body, True)
+        headers = reader.read_fields(frame.headers)
+        response = http1.Response(frame.status, headers, frame.body, True)
     load = to_load(frame.load) if frame.load is not None else None
     return _model.Outcome(
         verdict, frame.reason, response, load, frame.arrived, frame.nested
--- a/flamingolug/gateway/_peer_server.py
+++ b/flamingolug/gateway/_peer_server.py
@@ -1,6 +1,7 @@
 """The called side of links: hands calls of other nodes to the gate."""
 
 import logging
+import random
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -14,6 +15,7 @@
 from flamingolug.gateway import _gate
 from flamingolug.gateway import _link
 from flamingolug.gateway import _model
+from flamingolug.gateway import _repeats
 from flamingolug.gateway import _slots
 
 _LOGGER = logging.getLogger(__name__)
@@ -24,6 +26,9 @@
 
     links: _link.Needs
     gate: _gate.Gate
+    rng: random.Random
+    #: Whether this node lacks the entries of upstreams.
+    uninformed: Callable[[], bool]
 
 
 class PeerServer:
@@ -52,11 +57,15 @@
         )
         self._wires.add(wire)
         wire.send(self._status())
+        if self._needs.uninformed():
+            wire.send(_frames.EntriesRequest())
         tickets: dict[int, _slots.Ticket] = {}
         try:
             for frames in wire.read():
                 for frame in frames:
                     self._take(wire, tickets, frame)
+        except msgspec.DecodeError as exc:
+            wire.note_unreadable(exc)
         finally:
             self._wires.discard(wire)
             wire.close()
@@ -70,6 +79,12 @@
         self._announce_due = True
         gevent.spawn(self._announce)
 
+    def ask_entries(self) -> None:
+        """Asks one of the linked nodes for the entries of upstreams."""
+        if self._wires:
+            wire = self._needs.rng.choice(list(self._wires))
+            wire.send(_frames.EntriesRequest())
+
     def _announce(self) -> None:
         self._announce_due = False
         status = self._status()
@@ -92,7 +107,7 @@
     ) -> None:
         if isinstance(frame, _frames.CallFrame):
             reply = self._replier(wire, tickets, frame)
-            call = self._to_call(frame)
+            call = self._to_call(frame, wire.reader)
             tickets[frame.number] = self._needs.gate.submit(call, reply)
             return
         if isinstance(frame, _frames.CancelFrame):
@@ -104,21 +119,23 @@
             wire.send(self._status())
         _link.take_common(wire, frame, self._needs.links)
 
-    def _to_call(self, frame: _frames.CallFrame) -> _model.Call:
+    def _to_call(
+        self, frame: _frames.CallFrame, reader: _repeats.Reader
+    ) -> _model.Call:
         now = self._needs.links.timers.now()
         return _model.Call(
             request_id=frame.request_id,
-            upstream_id=frame.upstream_id,
-            caller=frame.caller,
-            method=frame.method,
+            upstream_id=reader.read(frame.upstream_id).decode(),
+            caller=reader.read(frame.caller).decode(),
+            method=reader.read(frame.method),
             target=frame.target,
-            headers=frame.headers,
+            headers=reader.read_fields(frame.headers),
             body=frame.body,
             deadline=now + frame.left_ms / 1000.0,
             wait_until=now + frame.wait_ms / 1000.0,
             rank=frame.rank,
             idempotent=frame.idempotent,
-            route=frame.route,
+            route=reader.read(frame.route).decode(),
         )
 
     def _replier(
@@ -144,7 +161,7 @@
                 result = msgspec.structs.replace(
                     result,
                     status=response.status,
-                    headers=response.headers,
+                    headers=wire.writer.write_fields(response.headers),
                     body=response.body,
                 )
             wire.send(result)
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -127,6 +127,10 @@
         holder.document,
         lambda document: holder.offer(document, "peer"),
         on_status,
+        lambda: built.get("gateway.directory", _directory.Directory).entries(),
+        lambda items: built.get(
+            "gateway.directory", _directory.Directory
+        ).take_from_peer(items),
     )
 
 
@@ -147,6 +151,9 @@
             lambda key: built.get(
                 "gateway.announcer", _announcer.Announcer
             ).on_removed(key),
+            lambda: built.get(
+                "gateway.peer-server", _peer_server.PeerServer
+            ).ask_entries(),
         )
     )
 
@@ -224,6 +231,10 @@
         _peer_server.Needs(
             built.get("gateway.link-needs", _link.Needs),
             built.get("gateway.gate", _gate.Gate),
+            _rng(built),
+            lambda: (
+                built.get("gateway.directory", _directory.Directory).uninformed
+            ),
         )
     )
 
--- a/flamingolug/platform/tests/deployment.py
+++ b/flamingolug/platform/tests/deployment.py
@@ -111,6 +111,13 @@
             platform.make_environment(self.settings, "none")
         )
 
+    def restart_node(self) -> None:
+        """Ends the node at once and starts another in its place."""
+        self.node.close()
+        self.node = gateway.Node(
+            platform.make_environment(self.settings, "none")
+        )
+
     def wait_ready(self) -> None:
         """Waits until the node has a configuration."""
         wait_until(lambda: self.ask_ready() == 200, "node is ready")
--- a/flamingolug/platform/tests/test_path.py
+++ b/flamingolug/platform/tests/test_path.py
@@ -279,6 +279,27 @@
         self.assertEqual(deployment.ask(self.front, "read", "v1").status, 200)
 
 
+class RestartTest(unittest.TestCase):
+    """A node that starts again while the store is away."""
+
+    def test_a_restarted_node_learns_from_its_peers(self) -> None:
+        fleet = deployment.Deployment(
+            ("front", "shelf"), [*_ROUTES, deployment.route("home", "front")]
+        )
+        front, shelf = fleet.machines
+        fleet.store.down = True
+        front.restart_node()
+        front.server.report()
+
+        def serves_again() -> bool:
+            # Opens the link over which the restarted node asks.
+            deployment.ask(shelf, "home", "x0")
+            return deployment.ask(front, "read", "x1").status == 200
+
+        deployment.wait_until(serves_again, "the restarted node serves")
+        fleet.stop()
+
+
 class StopTest(unittest.TestCase):
     """A planned stop of a node."""
 
