--- a/flamingolug/gateway/_balance.py
+++ b/flamingolug/gateway/_balance.py
@@ -117,15 +117,14 @@
 def choose(
     candidates: Sequence[Candidate],
     work: Work,
-    tried: frozenset[str],
     rng: random.Random,
 ) -> _model.Upstream | None:
     """Returns the upstream for the next attempt, None when none is left.
 
     Args:
-        candidates: upstreams of the service that take work.
+        candidates: upstreams of the service that take work and that the
+            request has not been offered to.
         work: the call.
-        tried: identities that this request has been offered to.
         rng: source of the random part.
     """
     mean_s = mean_hold_s(candidates)
@@ -133,8 +132,6 @@
     best_cost = 0.0
     for allow_suspended in (False, True):
         for candidate in candidates:
-            if candidate.upstream.id in tried:
-                continue
             if candidate.suspended and not allow_suspended:
                 continue
             cost = cost_of(candidate, work, mean_s) + JITTER * rng.random()
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -1,6 +1,7 @@
 """All upstreams, as their nodes announce them in the store."""
 
 import logging
+import random
 from collections.abc import Callable
 from collections.abc import Collection
 from typing import NamedTuple
@@ -62,6 +63,9 @@
 class Needs(NamedTuple):
     """What the directory works with."""
 
+    #: Availability zone of this node.
+    zone: str
+    rng: random.Random
     store: store.LeasedStore
     timers: timing.Timers
     #: Whether an open link to an address has confirmed an upstream lately.
@@ -72,7 +76,7 @@
     ask_peer: Callable[[], None]
 
 
-class _Known:
+class Known:
     """One entry and when it vanished."""
 
     def __init__(self, upstream: _model.Upstream, revision: int) -> None:
@@ -82,6 +86,21 @@
         self.lapsed_at: float | None = None
 
 
+class Placement(NamedTuple):
+    """Entries of one service that say `ready`, each list in random order."""
+
+    #: In the availability zone of this node.
+    near: list[Known]
+    far: list[Known]
+
+
+_NOWHERE = Placement([], [])
+
+
+def _address(upstream: _model.Upstream) -> tuple[str, int]:
+    return (upstream.host, upstream.port)
+
+
 class Directory:
     """Follows the entries of all upstreams."""
 
@@ -93,8 +112,11 @@
         self.uninformed = False
         self._needs = needs
         self._task: gevent.Greenlet[[], None] | None = None
-        self._known: dict[str, _Known] = {}
-        self._services: dict[str, list[_Known]] = {}
+        self._known: dict[str, Known] = {}
+        #: Keys of the entries of each node, by its address for links.
+        self._keys_at: dict[tuple[str, int], set[str]] = {}
+        self._services: dict[str, Placement] = {}
+        self._index_due = False
 
     def start(self) -> None:
         """Begins to follow the store."""
@@ -112,28 +134,25 @@
             return None
         return known.upstream
 
-    def upstreams_of(self, service: str) -> list[_model.Upstream]:
-        """Returns the upstreams of a service that take work."""
-        found: list[_model.Upstream] = []
-        now = self._needs.timers.now()
-        for known in self._services.get(service, ()):
-            upstream = known.upstream
-            if upstream.state is not _model.UpstreamState.READY:
-                continue
-            if known.lapsed_at is not None:
-                recent = now - known.lapsed_at < LAPSE_GRACE_S
-                if not recent and not self._needs.confirmed(upstream):
-                    continue
-            found.append(upstream)
-        return found
+    def place(self, service: str) -> Placement:
+        """Returns where the upstreams of a service are."""
+        return self._placements().get(service, _NOWHERE)
+
+    def is_usable(self, known: Known) -> bool:
+        """Returns whether an upstream with this entry may get work."""
+        if known.lapsed_at is None:
+            return True
+        if self._needs.timers.now() - known.lapsed_at < LAPSE_GRACE_S:
+            return True
+        return self._needs.confirmed(known.upstream)
 
     def services(self) -> Collection[str]:
         """Returns all services that have an upstream."""
-        return self._services
+        return self._placements()
 
     def node_count(self) -> int:
         """Returns how many nodes have an entry."""
-        return len({known.upstream.host for known in self._known.values()})
+        return len(self._keys_at)
 
     def entries(self) -> list[store.Item]:
         """Returns the entries of the upstreams that take work."""
@@ -168,8 +187,9 @@
         if upstream is None:
             return
         self._drop_predecessors(upstream, item.revision)
-        self._known[item.key] = _Known(upstream, item.revision)
-        self._index()
+        self._known[item.key] = Known(upstream, item.revision)
+        self._keys_at.setdefault(_address(upstream), set()).add(item.key)
+        self._index_due = True
         telemetry.event(
             _LOGGER,
             "directory.entry",
@@ -184,12 +204,19 @@
         self, upstream: _model.Upstream, revision: int
     ) -> None:
         """Drops older entries of the same node; it has one upstream."""
-        address = (upstream.host, upstream.port)
-        for key, known in list(self._known.items()):
-            if (known.upstream.host, known.upstream.port) != address:
-                continue
+        for key in list(self._keys_at.get(_address(upstream), ())):
+            known = self._known[key]
             if known.revision < revision and known.upstream.id != upstream.id:
-                del self._known[key]
+                self._forget(key)
+
+    def _forget(self, key: str) -> None:
+        """Drops an entry."""
+        known = self._known.pop(key)
+        keys = self._keys_at[_address(known.upstream)]
+        keys.discard(key)
+        if not keys:
+            del self._keys_at[_address(known.upstream)]
+        self._index_due = True
 
     def _remove(self, key: str) -> None:
         known = self._known.get(key)
@@ -204,21 +231,32 @@
             revision=known.revision,
         )
         if known.upstream.state is not _model.UpstreamState.READY:
-            del self._known[key]
-            self._index()
+            self._forget(key)
             return
         known.lapsed_at = self._needs.timers.now()
 
-    def _index(self) -> None:
-        services: dict[str, list[_Known]] = {}
+    def _placements(self) -> dict[str, Placement]:
+        """Returns all services, indexed anew after a change."""
+        if not self._index_due:
+            return self._services
+        services: dict[str, Placement] = {}
         for known in self._known.values():
-            services.setdefault(known.upstream.service, []).append(known)
+            upstream = known.upstream
+            placement = services.setdefault(upstream.service, Placement([], []))
+            if upstream.state is not _model.UpstreamState.READY:
+                continue
+            near = upstream.zone == self._needs.zone
+            (placement.near if near else placement.far).append(known)
+        for placement in services.values():
+            self._needs.rng.shuffle(placement.near)
+            self._needs.rng.shuffle(placement.far)
         self._services = services
+        self._index_due = False
+        return services
 
     def forget_lapsed(self) -> None:
         """Drops entries that vanished and that no link confirms."""
         now = self._needs.timers.now()
-        dropped = False
         for key, known in list(self._known.items()):
             if known.lapsed_at is None:
                 continue
@@ -226,10 +264,7 @@
                 continue
             if self._needs.confirmed(known.upstream):
                 continue
-            del self._known[key]
-            dropped = True
-        if dropped:
-            self._index()
+            self._forget(key)
 
     def _follow(self) -> None:
         after = -1
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -139,10 +139,14 @@
     return _link.Links(built.get("gateway.link-needs", _link.Needs))
 
 
-@kernel.plugin("gateway.directory", ("gateway.store",), PROGRAM)
+@kernel.plugin(
+    "gateway.directory", ("gateway.store", "gateway.random"), PROGRAM
+)
 def _build_directory(built: kernel.Kernel) -> object:
     return _directory.Directory(
         _directory.Needs(
+            _settings(built).identity.zone,
+            _rng(built),
             _store(built),
             _timers(built),
             lambda upstream: built.get(
--- a/flamingolug/gateway/_upstreams.py
+++ b/flamingolug/gateway/_upstreams.py
@@ -24,6 +24,11 @@
     "link-lost": 1.0,
     "lost": 0.1,
 }
+#: Upstreams of the own availability zone that are compared for a call, and of
+#: all zones. The best of five random ones is loaded nearly as evenly as the
+#: best of all, at a cost that does not grow with the service.
+MAX_NEAR = 5
+MAX_CANDIDATES = 8
 #: Weight of a new sample in the typical time of a route.
 TYPICAL_SMOOTHING = 0.05
 FIRST_TYPICAL_S = 0.2
@@ -101,31 +106,73 @@
     ) -> _model.Upstream | None:
         """Returns the upstream for the next attempt, None without one."""
         now = self._now()
-        zone = self._needs.cfg.identity.zone
-        candidates: list[_balance.Candidate] = []
-        own = self._needs.cfg.link
-        for upstream in self._needs.directory.upstreams_of(service):
-            address = (upstream.host, upstream.port)
-            if self._is_elsewhere(address, upstream.id):
-                continue
-            view = self._view(upstream.id)
-            if address == own:
-                view.load = self._needs.gate.load()
-                view.load_at = now
-                view.sent_since = 0
-            candidates.append(
-                _balance.Candidate(
-                    upstream,
-                    upstream.zone == zone,
-                    view.outstanding,
-                    view.load,
-                    now - view.load_at,
-                    view.sent_since,
-                    now < view.suspended_until,
-                )
-            )
+        placement = self._needs.directory.place(service)
+        near = self._sample(placement.near, MAX_NEAR, tried, now)
+        far = self._sample(
+            placement.far, MAX_CANDIDATES - len(near), tried, now
+        )
+        candidates = [
+            *(self._describe(each, True, now) for each in near),
+            *(self._describe(each, False, now) for each in far),
+        ]
         work = _balance.describe_work(route, self.typical_s(route))
-        return _balance.choose(candidates, work, tried, self._needs.rng)
+        return _balance.choose(candidates, work, self._needs.rng)
+
+    def _sample(
+        self,
+        entries: list[_directory.Known],
+        most: int,
+        tried: frozenset[str],
+        now: float,
+    ) -> list[_model.Upstream]:
+        """Returns upstreams to compare, those that are not suspended first.
+
+        The entries are in random order and the sample begins anywhere, so
+        that each upstream is as likely as any other.
+        """
+        count = len(entries)
+        if not count:
+            return []
+        start = int(self._needs.rng.random() * count)
+        found: list[_model.Upstream] = []
+        spare: list[_model.Upstream] = []
+        for index in range(start, start + count):
+            known = entries[index % count]
+            upstream = known.upstream
+            if upstream.id in tried or not self._takes_work(known):
+                continue
+            if now < self._view(upstream.id).suspended_until:
+                spare.append(upstream)
+                continue
+            found.append(upstream)
+            if len(found) >= most:
+                return found
+        return found or spare[:most]
+
+    def _takes_work(self, known: _directory.Known) -> bool:
+        upstream = known.upstream
+        if self._is_elsewhere((upstream.host, upstream.port), upstream.id):
+            return False
+        return self._needs.directory.is_usable(known)
+
+    def _describe(
+        self, upstream: _model.Upstream, near: bool, now: float
+    ) -> _balance.Candidate:
+        """Returns an upstream as the choice sees it."""
+        view = self._view(upstream.id)
+        if (upstream.host, upstream.port) == self._needs.cfg.link:
+            view.load = self._needs.gate.load()
+            view.load_at = now
+            view.sent_since = 0
+        return _balance.Candidate(
+            upstream,
+            near,
+            view.outstanding,
+            view.load,
+            now - view.load_at,
+            view.sent_since,
+            now < view.suspended_until,
+        )
 
     def typical_s(self, route: _model.Route) -> float:
         """Returns how long a call of a route takes."""
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -178,7 +178,6 @@
                         make_candidate("other", False, **case.other),
                     ],
                     _balance.Work(1, 0.5, 0.2),
-                    frozenset(),
                     random.Random(1),
                 )
                 assert chosen is not None
@@ -194,7 +193,6 @@
                 make_candidate("other", False, hold_s=0.3),
             ],
             _balance.describe_work(route, 0.8),
-            frozenset(),
             random.Random(1),
         )
         assert chosen is not None
@@ -210,24 +208,11 @@
         chosen = _balance.choose(
             [known, fresh],
             _balance.Work(1, 0.5, 0.05),
-            frozenset(),
             random.Random(1),
         )
         assert chosen is not None
         self.assertEqual(chosen.id, "fresh")
 
-    def test_each_upstream_is_offered_a_request_once(self) -> None:
-        candidates = [make_candidate("a", True), make_candidate("b", False)]
-        work = _balance.Work(1, 0.5, 0.1)
-        chosen = _balance.choose(
-            candidates, work, frozenset("a"), random.Random(1)
-        )
-        assert chosen is not None
-        self.assertEqual(chosen.id, "b")
-        self.assertIsNone(
-            _balance.choose(candidates, work, frozenset("ab"), random.Random(1))
-        )
-
 
 class BudgetTest(unittest.TestCase):
     """The fleet's retry budget, split among nodes."""
