--- a/flamingolug/gateway/_balance.py
+++ b/flamingolug/gateway/_balance.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Callable
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -71,25 +72,13 @@
     )
 
 
-def mean_hold_s(candidates: Sequence[Candidate]) -> float:
-    """Returns the mean hold time of the upstreams that told theirs."""
-    total = 0.0
-    count = 0
-    for candidate in candidates:
-        if candidate.load is None:
-            continue
-        total += candidate.load.hold_s
-        count += 1
-    return max(total / count, 0.001) if count else 0.1
-
-
 def cost_of(candidate: Candidate, work: Work, mean_s: float) -> float:
     """Returns the cost of an upstream, in latency targets.
 
     Args:
         candidate: the upstream.
         work: the call.
-        mean_s: mean hold time over the service's upstreams.
+        mean_s: mean hold time of the service.
     """
     load = candidate.load
     cost = 0.0 if candidate.own_zone else ZONE_COST
@@ -114,30 +103,62 @@
     return cost + OVERFULL_COST * max(busy / limit - FULL_SHARE, 0.0)
 
 
-def choose(
+class Choice(NamedTuple):
+    """The best of some upstreams."""
+
+    upstream: _model.Upstream
+    #: In latency targets.
+    cost: float
+    suspended: bool
+
+
+def find_best(
     candidates: Sequence[Candidate],
     work: Work,
+    mean_s: float,
+    rng: random.Random,
+) -> Choice | None:
+    """Returns the best of some upstreams, None without one.
+
+    One that refused or was lost a moment ago is taken if there is no other.
+    """
+    best: Choice | None = None
+    for candidate in candidates:
+        suspended = candidate.suspended
+        if best is not None and suspended and not best.suspended:
+            continue
+        cost = cost_of(candidate, work, mean_s) + JITTER * rng.random()
+        better = best is None or cost < best.cost
+        if better or (best is not None and best.suspended > suspended):
+            best = Choice(candidate.upstream, cost, suspended)
+    return best
+
+
+def choose(
+    near: Sequence[Candidate],
+    far: Callable[[], Sequence[Candidate]],
+    work: Work,
+    mean_s: float,
     rng: random.Random,
 ) -> _model.Upstream | None:
     """Returns the upstream for the next attempt, None when none is left.
 
     Args:
-        candidates: upstreams of the service that take work and that the
-            request has not been offered to.
+        near: upstreams of the own zone that take work and that the request
+            has not been offered to.
+        far: returns such upstreams of other zones; asked only when the own
+            zone has none that is cheaper than any of theirs can be.
         work: the call.
+        mean_s: mean hold time of the service.
         rng: source of the random part.
     """
-    mean_s = mean_hold_s(candidates)
-    best: _model.Upstream | None = None
-    best_cost = 0.0
-    for allow_suspended in (False, True):
-        for candidate in candidates:
-            if candidate.suspended and not allow_suspended:
-                continue
-            cost = cost_of(candidate, work, mean_s) + JITTER * rng.random()
-            if best is None or cost < best_cost:
-                best = candidate.upstream
-                best_cost = cost
-        if best is not None:
-            return best
-    return None
+    best = find_best(near, work, mean_s, rng)
+    if best is not None and not best.suspended and best.cost < ZONE_COST:
+        return best.upstream
+    other = find_best(far(), work, mean_s, rng)
+    if best is None or other is None:
+        either = best or other
+        return either.upstream if either else None
+    if best.suspended != other.suspended:
+        return other.upstream if best.suspended else best.upstream
+    return best.upstream if best.cost <= other.cost else other.upstream
--- a/flamingolug/gateway/_upstreams.py
+++ b/flamingolug/gateway/_upstreams.py
@@ -32,6 +32,8 @@
 #: Weight of a new sample in the typical time of a route.
 TYPICAL_SMOOTHING = 0.05
 FIRST_TYPICAL_S = 0.2
+#: Hold time assumed of a service before the first result, seconds.
+FIRST_HOLD_S = 0.1
 
 
 class Sent:
@@ -98,6 +100,8 @@
         self._now = needs.timers.now
         self._views: dict[str, _View] = {}
         self._typical: dict[str, float] = {}
+        #: Mean hold time of each service's upstreams as results tell it.
+        self._holds: dict[str, float] = {}
         #: Upstream that takes work beside the node at an address.
         self._at_address: dict[tuple[str, int], str] = {}
 
@@ -107,16 +111,25 @@
         """Returns the upstream for the next attempt, None without one."""
         now = self._now()
         placement = self._needs.directory.place(service)
-        near = self._sample(placement.near, MAX_NEAR, tried, now)
-        far = self._sample(
-            placement.far, MAX_CANDIDATES - len(near), tried, now
-        )
-        candidates = [
-            *(self._describe(each, True, now) for each in near),
-            *(self._describe(each, False, now) for each in far),
+        near = [
+            self._describe(each, True, now)
+            for each in self._sample(placement.near, MAX_NEAR, tried, now)
         ]
-        work = _balance.describe_work(route, self.typical_s(route))
-        return _balance.choose(candidates, work, self._needs.rng)
+
+        def find_far() -> list[_balance.Candidate]:
+            most = MAX_CANDIDATES - len(near)
+            return [
+                self._describe(each, False, now)
+                for each in self._sample(placement.far, most, tried, now)
+            ]
+
+        return _balance.choose(
+            near,
+            find_far,
+            _balance.describe_work(route, self.typical_s(route)),
+            self._holds.get(service, FIRST_HOLD_S),
+            self._needs.rng,
+        )
 
     def _sample(
         self,
@@ -195,7 +208,7 @@
         def finish(outcome: _model.Outcome | None) -> None:
             view.outstanding -= 1
             if outcome is not None:
-                self._learn(route, view, outcome, began)
+                self._learn(upstream.service, route, view, outcome, began)
 
         cfg = self._needs.cfg
         if (upstream.host, upstream.port) == cfg.link:
@@ -255,6 +268,7 @@
 
     def _learn(
         self,
+        service: str,
         route: _model.Route,
         view: _View,
         outcome: _model.Outcome,
@@ -265,6 +279,10 @@
             view.load = outcome.load
             view.load_at = now
             view.sent_since = 0
+            hold_s = self._holds.get(service, outcome.load.hold_s)
+            self._holds[service] = (
+                hold_s + (outcome.load.hold_s - hold_s) * TYPICAL_SMOOTHING
+            )
         suspension_s = SUSPENSIONS_S.get(outcome.reason)
         if suspension_s is not None:
             view.suspended_until = now + suspension_s
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -134,6 +134,13 @@
     other: dict[str, float]
     expected: str
 
+    @property
+    def mean_s(self) -> float:
+        """Mean hold time of the two."""
+        return (
+            self.own.get("hold_s", 0.1) + self.other.get("hold_s", 0.1)
+        ) / 2.0
+
 
 def make_candidate(name: str, own: bool, **load: float) -> _balance.Candidate:
     """Returns a candidate with the load given."""
@@ -172,12 +179,13 @@
         }
         for name, case in cases.items():
             with self.subTest(name):
+                own = make_candidate("own", True, **case.own)
+                other = make_candidate("other", False, **case.other)
                 chosen = _balance.choose(
-                    [
-                        make_candidate("own", True, **case.own),
-                        make_candidate("other", False, **case.other),
-                    ],
+                    [own],
+                    lambda other=other: [other],  # type: ignore[misc]
                     _balance.Work(1, 0.5, 0.2),
+                    case.mean_s,
                     random.Random(1),
                 )
                 assert chosen is not None
@@ -188,11 +196,10 @@
             "r", "h", "/", (("s", 1.0),), False, 1.2, 4.0, 2, 2
         )
         chosen = _balance.choose(
-            [
-                make_candidate("own", True, hold_s=0.7),
-                make_candidate("other", False, hold_s=0.3),
-            ],
+            [make_candidate("own", True, hold_s=0.7)],
+            lambda: [make_candidate("other", False, hold_s=0.3)],
             _balance.describe_work(route, 0.8),
+            0.5,
             random.Random(1),
         )
         assert chosen is not None
@@ -207,12 +214,54 @@
         )
         chosen = _balance.choose(
             [known, fresh],
+            list,
             _balance.Work(1, 0.5, 0.05),
+            0.05,
             random.Random(1),
         )
         assert chosen is not None
         self.assertEqual(chosen.id, "fresh")
 
+    def test_other_zones_are_looked_at_only_when_they_can_win(self) -> None:
+        cases: dict[str, tuple[dict[str, float], bool]] = {
+            "idle": ({"running": 0}, False),
+            "half full": ({"running": 5}, False),
+            "full": ({"running": 12}, True),
+            "too slow": ({"hold_s": 0.8}, True),
+        }
+        for name, (load, expected) in cases.items():
+            with self.subTest(name):
+                asked: list[bool] = []
+
+                def find_far(
+                    asked: list[bool] = asked,
+                ) -> list[_balance.Candidate]:
+                    asked.append(True)
+                    return []
+
+                _balance.choose(
+                    [make_candidate("own", True, **load)],
+                    find_far,
+                    _balance.Work(1, 0.5, 0.2),
+                    0.1,
+                    random.Random(1),
+                )
+                self.assertEqual(bool(asked), expected)
+
+    def test_a_suspended_upstream_is_the_last_choice(self) -> None:
+        suspended = make_candidate("own", True)._replace(suspended=True)
+        full = make_candidate("other", False, running=14)
+        for near, far in (([suspended], [full]), ([full], [suspended])):
+            chosen = _balance.choose(
+                near,
+                lambda far=far: far,  # type: ignore[misc]
+                _balance.Work(1, 0.5, 0.2),
+                0.1,
+                random.Random(1),
+            )
+            assert chosen is not None
+            self.assertEqual(chosen.id, "other")
+
 
 class BudgetTest(unittest.TestCase):
     """The fleet's retry budget, split among nodes."""
--- a/flamingolug/http1/_parse.py
+++ b/flamingolug/http1/_parse.py
@@ -36,6 +36,8 @@
     for name, value in headers:
         if name == b"connection":
             named.update(part.strip().lower() for part in value.split(b","))
+    if not named:
+        return [pair for pair in headers if pair[0] not in CONNECTION_HEADERS]
     return [
         pair
         for pair in headers
