--- a/flamingolug/gateway/_announcer.py
+++ b/flamingolug/gateway/_announcer.py
@@ -91,13 +91,13 @@
         report = self._needs.report()
         if report is None:
             return None
-        identity = self._needs.cfg.identity
+        host, port = self._needs.cfg.link
         return _model.Upstream(
             report.id,
             report.service,
-            identity.zone,
-            identity.host,
-            self._needs.cfg.link[1],
+            self._needs.cfg.identity.zone,
+            host,
+            port,
             report.slots,
             report.state,
             report.born_ms,
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -46,6 +46,13 @@
 GRACE_BEHIND_DEADLINE_S = 0.1
 
 
+_LEAVING_ORDER = {
+    _model.UpstreamState.READY: 0,
+    _model.UpstreamState.DRAINING: 1,
+    _model.UpstreamState.GONE: 2,
+}
+
+
 class _ExchangeTimeout(BaseException):
     """The backend server has not answered in time."""
 
@@ -97,8 +104,9 @@
         self._failing = 0.0
         self._misdirected = ""
         self._callers = _caller_mix.CallerMix()
-        #: Upstreams that said they leave, with the wall time in milliseconds;
-        #: a run that began later is another one.
+        #: Upstreams that said they leave, with the start of that run or, where
+        #: it is not known, the wall time, both in milliseconds; a run that
+        #: began later is another one.
         self._left: dict[str, int] = {}
 
     def start(self) -> None:
@@ -134,15 +142,8 @@
         known = self.report
         if report.born_ms <= self._left.get(report.id, -1):
             return False
-        if known is not None:
-            if report.born_ms < known.born_ms:
-                return False
-            same_run = (known.id, known.born_ms) == (report.id, report.born_ms)
-            if same_run and report.sequence <= known.sequence:
-                return False
-            left = _model.UpstreamState.GONE
-            if same_run and known.state is left and report.state is not left:
-                return False
+        if known is not None and self._is_superseded(known, report):
+            return False
         self._reported_at = self._now()
         self.report = report
         changed = known is None or known._replace(
@@ -168,12 +169,27 @@
         self._needs.announce()
         return True
 
+    def _is_superseded(
+        self, known: _model.Report, report: _model.Report
+    ) -> bool:
+        """Returns whether a report says less than what is known."""
+        if (known.id, known.born_ms) != (report.id, report.born_ms):
+            # Clocks may have been set back; a run that has left can be
+            # followed by any other.
+            left = known.state is _model.UpstreamState.GONE
+            return report.born_ms < known.born_ms and not left
+        if report.sequence <= known.sequence:
+            return True
+        # A run that leaves does not come back.
+        return _LEAVING_ORDER[report.state] < _LEAVING_ORDER[known.state]
+
     def take_leave(self, upstream_id: str) -> bool:
         """Notes that an upstream has left; returns whether it was known."""
         known = self.report
-        self._left[upstream_id] = int(self._needs.timers.wall() * 1000)
         if known is None or known.id != upstream_id:
+            self._left[upstream_id] = int(self._needs.timers.wall() * 1000)
             return False
+        self._left[upstream_id] = known.born_ms
         if known.state is _model.UpstreamState.GONE:
             return False
         self.report = known._replace(state=_model.UpstreamState.GONE)
--- a/flamingolug/gateway/_model.py
+++ b/flamingolug/gateway/_model.py
@@ -199,8 +199,11 @@
     ready: tuple[str, int]
     #: Where the backend server reports.
     control: tuple[str, int]
-    #: Where other nodes connect.
+    #: Where other nodes connect, as they are told.
     link: tuple[str, int]
+    #: Where this node listens for them; another address than `link` behind
+    #: address translation.
+    link_listen: tuple[str, int]
     #: Where metrics are served; None for nowhere.
     metrics: tuple[str, int] | None
     store: tuple[str, int]
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -156,7 +156,7 @@
         listeners.add("metrics", cfg.metrics, small(service.answer_metrics))
     listeners.add(
         "link",
-        cfg.link,
+        cfg.link_listen,
         built.get("gateway.peer-server", _peer_server.PeerServer).serve,
     )
     listeners.add(
--- a/flamingolug/platform/_settings.py
+++ b/flamingolug/platform/_settings.py
@@ -46,6 +46,9 @@
     report_interval_ms: float = msgspec.field(
         name="HeartbeatMs", default=1500.0
     )
+    #: Where other nodes reach this one, if not at `host`; the platform never
+    #: sets it.
+    announced: str = msgspec.field(name="AnnouncedLink", default="")
 
 
 def load_settings(path: str) -> gateway.GatewaySettings:
@@ -70,7 +73,12 @@
         outbound=_address(found.listen.outbound),
         ready=_address(found.listen.ready),
         control=_address(found.listen.control),
-        link=(found.host, link_port),
+        link=(
+            _address(found.announced)
+            if found.announced
+            else (found.host, link_port)
+        ),
+        link_listen=(found.host, link_port),
         metrics=(found.host, metrics_port),
         store=_address(found.platform.address),
         min_lease_s=found.platform.min_lease_ms / 1000.0,
--- a/flamingolug/platform/tests/deployment.py
+++ b/flamingolug/platform/tests/deployment.py
@@ -97,6 +97,7 @@
             ready=(self.host, _BASE + _READY),
             control=(self.host, _BASE + _CONTROL),
             link=(self.host, _BASE + _LINK),
+            link_listen=(self.host, _BASE + _LINK),
             metrics=None,
             store=store,
             min_lease_s=1.0,
--- a/flamingolug/platform/tests/test_path.py
+++ b/flamingolug/platform/tests/test_path.py
@@ -191,6 +191,27 @@
         response = deployment.ask(self.front, "read", "n1")
         self.assertEqual(response.status, 503)
 
+    def test_a_run_that_drains_does_not_come_back(self) -> None:
+        self.shelf.server.report("draining")
+        self.shelf.server.report("ready")
+        response = deployment.ask(self.front, "read", "n2")
+        self.assertEqual(response.status, 503)
+        self.assertNotIn("n2", self.shelf.server.ran)
+
+    def test_a_run_after_a_leave_counts_though_the_clock_went_back(
+        self,
+    ) -> None:
+        server = self.shelf.server
+        server.leave()
+        server.id += "-next"
+        server.born_ms -= 120_000
+        server.sequence = 0
+        self.assertEqual(server.report(), 200)
+        deployment.wait_until(
+            lambda: deployment.ask(self.front, "read", "n3").status == 200,
+            "the next run serves",
+        )
+
     def test_a_leave_holds_while_the_store_is_away(self) -> None:
         self.fleet.store.down = True
         self.assertEqual(self.shelf.server.report("draining"), 200)
--- a/flamingolug_bench/program.py
+++ b/flamingolug_bench/program.py
@@ -11,6 +11,7 @@
 from flamingolug_bench import flood
 from flamingolug_bench import overhead
 from flamingolug_bench import rolling
+from flamingolug_bench import soak
 
 _WIDTH = 22
 
@@ -21,6 +22,8 @@
     parser.add_argument("scene")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--duration", type=float, default=0.0)
+    parser.add_argument("--nodes", type=int, default=0)
+    parser.add_argument("--seeds", default="", help="A-B, for soak")
     args = parser.parse_args()
     # A bench that is told to stop ends what it has started.
     signal.signal(signal.SIGTERM, _interrupt)
@@ -29,7 +32,10 @@
         print("scenes:", " ".join(sorted(scenes)))
         return
     began = time.monotonic()
-    values = scenes[args.scene](args.seed, args.duration)
+    if args.scene == "soak":
+        values = _soak(args)
+    else:
+        values = scenes[args.scene](args.seed, args.duration)
     pairs = " ".join(f"{key}={_text(each)}" for key, each in values.items())
     print(f"took {time.monotonic() - began:.0f} s")
     print(f"result scene={args.scene} seed={args.seed} {pairs}")
@@ -51,6 +57,7 @@
         "faults": faults.run,
         "join": control.run_join,
         "rolling": rolling.run,
+        "soak": soak.run,
     }
     for name in flood.SCENES:
         scenes[name] = lambda seed, duration, name=name: _flood(name, seed)
@@ -58,6 +65,16 @@
     return scenes
 
 
+def _soak(args: argparse.Namespace) -> dict[str, object]:
+    """Plays one seed of the soak, or a series."""
+    count = args.nodes or soak.DEFAULT_INSTANCES
+    if not args.seeds:
+        return soak.run(args.seed, args.duration, count)
+    first, _, last = args.seeds.partition("-")
+    seeds = range(int(first), int(last or first) + 1)
+    return soak.run_series(seeds, args.duration, count)
+
+
 def _flood(name: str, seed: int) -> dict[str, object]:
     """Runs control and baseline of a scene and prints both."""
     scene = flood.SCENES[name]
--- a/flamingolug_standins/relay_program.py
+++ b/flamingolug_standins/relay_program.py
@@ -8,6 +8,7 @@
 import functools
 import random
 import signal
+import struct
 import sys
 import time
 from collections.abc import Iterable
@@ -38,6 +39,10 @@
     silence_open: bool = False
     #: No connection passes anything.
     cut: bool = False
+    #: Nothing passes back from the target.
+    cut_back: bool = False
+    #: Connections open at the time are reset.
+    reset_open: bool = False
 
 
 class Relay:
@@ -47,7 +52,7 @@
         """Binds the address."""
         self.fault = Fault()
         self._silent: set[int] = set()
-        self._open: set[int] = set()
+        self._open: dict[int, Any] = {}
         self._numbers = 0
         self._target = _split(target)
         self._rng = random.Random(1)
@@ -61,19 +66,22 @@
         """Takes in a fault."""
         self.fault = fault
         if fault.silence_open:
-            self._silent |= self._open
+            self._silent |= self._open.keys()
+        if fault.reset_open:
+            for sock in self._open.values():
+                _reset(sock)
 
     def _relay(self, client: Any, address: object) -> None:
         del address
         self._numbers += 1
         number = self._numbers
-        self._open.add(number)
+        self._open[number] = client
         try:
             upstream = socket.create_connection(self._target, timeout=1.0)
             upstream.settimeout(None)
             tasks = [
-                gevent.spawn(self._copy, client, upstream, number),
-                gevent.spawn(self._copy, upstream, client, number),
+                gevent.spawn(self._copy, client, upstream, number, False),
+                gevent.spawn(self._copy, upstream, client, number, True),
             ]
             gevent.joinall(tasks, count=1)
             gevent.killall(tasks)
@@ -81,13 +89,17 @@
         except OSError:
             pass
         finally:
-            self._open.discard(number)
+            self._open.pop(number, None)
             client.close()
 
-    def _copy(self, source: Any, target: Any, number: int) -> None:
+    def stop(self) -> None:
+        """Ends listening and every connection."""
+        self._server.stop(timeout=0)
+
+    def _copy(self, source: Any, target: Any, number: int, back: bool) -> None:
         """Copies one direction; what is delayed does not hold up reading."""
         pieces: queue.Queue[tuple[float, bytes]] = queue.Queue()
-        writer = gevent.spawn(self._write, pieces, target, number)
+        writer = gevent.spawn(self._write, pieces, target, number, back)
         try:
             while True:
                 data = source.recv(_READ_BYTES)
@@ -104,11 +116,13 @@
         pieces: "queue.Queue[tuple[float, bytes]]",
         target: Any,
         number: int,
+        back: bool,
     ) -> None:
         while True:
             due, data = pieces.get()
             gevent.sleep(max(due - time.monotonic(), 0.0))
-            if number in self._silent or self.fault.cut:
+            cut = self.fault.cut or (back and self.fault.cut_back)
+            if number in self._silent or cut:
                 event.Event().wait()
             target.sendall(data)
 
@@ -120,6 +134,14 @@
         return wait_s
 
 
+def _reset(sock: Any) -> None:
+    """Closes a connection without an orderly end."""
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    sock.close()
+
+
 class _Setting(msgspec.Struct, forbid_unknown_fields=True):
     """Body of a control request."""
 
--- a/flamingolug_standins/sealing_server.py
+++ b/flamingolug_standins/sealing_server.py
@@ -41,6 +41,7 @@
         self.most_running = 0
         self.slots = 8
         self.sequence = 0
+        self.state = "ready"
         self.born_ms = int(time.time() * 1000)
         self._control = control
         self._server = gevent_server.StreamServer(
@@ -52,16 +53,21 @@
         """Ends as a crash does."""
         self._server.stop(timeout=0)
 
-    def report(self, state: str = "ready") -> int:
-        """Reports itself to its node; returns the status."""
+    def report(self, state: str = "") -> int:
+        """Reports itself to its node; returns the status.
+
+        Args:
+            state: `ready` or `draining`; empty for the one told last.
+        """
         self.sequence += 1
+        self.state = state or self.state
         body = {
             "Service": self.service,
             "Address": f"{self._server.server_host}:{self._server.server_port}",
             "Zone": "z1",
             "Version": "v1",
             "Slots": self.slots,
-            "State": state,
+            "State": self.state,
             "ColdRemainingMs": 0,
             "Sequence": self.sequence,
             "born": self.born_ms,
