--- a/flamingolug/gateway/_exchange.py
+++ b/flamingolug/gateway/_exchange.py
@@ -36,6 +36,10 @@
         self.arrivals = 0
         #: Whether an attempt ended without its outcome being known.
         self.doubtful = False
+        #: Upstream that it was offered to last.
+        self.last = ""
+        #: Why it is not offered once more, empty while it may be.
+        self.final = ""
         self.stop: Callable[[], None] = _do_nothing
 
     def cancel(self) -> None:
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -254,8 +254,37 @@
         finally:
             self._tickets.discard(ticket)
         self._needs.metrics.count_outcome(outcome)
+        if outcome.response is None:
+            self._log_unanswered(ticket, outcome)
         reply(outcome._replace(nested=ticket.nested))
 
+    def _log_unanswered(
+        self, ticket: _slots.Ticket, outcome: _model.Outcome
+    ) -> None:
+        """Tells why a call has no answer of the backend server."""
+        call = ticket.call
+        slots = self.slots
+        report = self.report
+        telemetry.event(
+            _LOGGER,
+            "gate.unanswered",
+            id=call.request_id,
+            verdict=outcome.verdict.name.lower(),
+            reason=outcome.reason,
+            upstream=call.upstream_id,
+            here=self.upstream_id,
+            report_age_s=round(self._now() - self._reported_at, 3),
+            sequence=report.sequence if report else 0,
+            rank=call.rank,
+            nested=ticket.nested,
+            running=slots.running,
+            limit=slots.limit,
+            waiting=sum(slots.waiting),
+            hold_s=round(slots.hold_s, 4),
+            left_s=round(call.deadline - self._now(), 4),
+            arrived=outcome.arrived,
+        )
+
     def _admit(self, ticket: _slots.Ticket) -> _model.Outcome:
         refused = self._refuse(ticket)
         if refused:
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -3,6 +3,7 @@
 import logging
 import random
 from collections.abc import Callable
+from typing import Any
 from typing import NamedTuple
 
 from gevent import timeout as gevent_timeout
@@ -42,6 +43,9 @@
 #: Part of the longest time stated on a route below which a request counts as
 #: one that comes again.
 RETURNING_SHARE = 0.97
+#: Ordinary successes for each one that is logged; at 300 requests a second a
+#: node writes three lines.
+SUCCESSES_PER_LINE = 100
 #: Time a caller waits when it states none, seconds.
 DEFAULT_DEADLINE_S = 30.0
 
@@ -89,6 +93,8 @@
         self._longest: dict[str, float] = {}
         #: Routes on which backend servers call, as their gates tell.
         self._nested: set[str] = set()
+        #: Ordinary successes since the start; a few of them are logged.
+        self._sampled = 0
 
     def handle(self, exchange: _exchange.Exchange) -> _exchange.Answer:
         """Returns the answer to a request."""
@@ -165,6 +171,7 @@
             if upstream is None:
                 break
             tried.add(upstream.id)
+            exchange.last = upstream.id
             outcome = self._attempt(exchange, task, upstream)
             reason = outcome.reason
             if outcome.verdict is _model.Verdict.ANSWERED:
@@ -174,12 +181,14 @@
                     break
             if outcome.verdict is _model.Verdict.UNKNOWN:
                 exchange.doubtful = True
-            if not self._may_retry(exchange, task, outcome):
+            exchange.final = self._why_final(exchange, task, outcome)
+            if exchange.final:
                 break
+            self._log_retry(exchange, task, upstream, outcome)
         if exchange.arrivals and not exchange.cancelled:
             throttle.note(kept is not None and kept.status < 500)
         if kept is not None:
-            return self._deliver(task, kept)
+            return self._deliver(exchange, task, kept)
         if exchange.doubtful:
             return self._fail(exchange, task, reason)
         return self._refuse(exchange, task, reason)
@@ -259,35 +268,87 @@
             return
         self._needs.below.note(task.service, pressure)
 
-    def _may_retry(
+    def _why_final(
         self, exchange: _exchange.Exchange, task: _Task, outcome: _model.Outcome
-    ) -> bool:
-        """Returns whether the request is offered once more."""
-        route = task.route
+    ) -> str:
+        """Returns why a request is not offered once more, empty if it is."""
+        impossible = self._why_impossible(exchange, task, outcome)
+        if impossible:
+            return impossible
+        if not outcome.arrived and outcome.verdict is _model.Verdict.NOT_RUN:
+            return ""
+        if exchange.arrivals >= task.route.max_attempts:
+            return "attempts"
+        budget = self._budget(task.service)
+        if not budget.try_spend(self._needs.node_count()):
+            return "budget"
+        return ""
+
+    def _why_impossible(
+        self, exchange: _exchange.Exchange, task: _Task, outcome: _model.Outcome
+    ) -> str:
+        """Returns why no other offer could be of use, empty if it could."""
         not_run = outcome.verdict is _model.Verdict.NOT_RUN
-        if exchange.cancelled or exchange.offers >= MAX_OFFERS:
-            return False
-        if not not_run and not route.idempotent:
-            return False
+        if exchange.cancelled:
+            return "cancelled"
+        if exchange.offers >= MAX_OFFERS:
+            return "offers"
+        if not not_run and not task.route.idempotent:
+            return "not-idempotent"
         needed_s = MIN_ATTEMPT_S
         if not not_run:
-            needed_s = self._needs.upstreams.typical_s(route)
-        if task.deadline - self._now() < needed_s:
-            return False
-        if outcome.arrived or not not_run:
-            if exchange.arrivals >= route.max_attempts:
-                return False
-            budget = self._budget(task.service)
-            if not budget.try_spend(self._needs.node_count()):
-                return False
+            needed_s = self._needs.upstreams.typical_s(task.route)
+        return "time" if task.deadline - self._now() < needed_s else ""
+
+    def _log_retry(
+        self,
+        exchange: _exchange.Exchange,
+        task: _Task,
+        upstream: _model.Upstream,
+        outcome: _model.Outcome,
+    ) -> None:
+        """Tells that a request is offered once more, and after what."""
         reason = outcome.reason or "upstream-failed"
         self._needs.metrics.counters.add(_metrics.RETRIES, reason)
-        return True
+        self._log(
+            "request.retried",
+            exchange,
+            task,
+            outcome.response.status if outcome.response else 0,
+            reason,
+            upstream=upstream.id,
+            peer=f"{upstream.host}:{upstream.port}",
+            verdict=outcome.verdict.name.lower(),
+        )
+
+    def _is_late(self, exchange: _exchange.Exchange, task: _Task) -> bool:
+        """Returns whether the latency target has been missed."""
+        took_s = self._now() - exchange.started_at
+        return took_s > task.route.target_latency_s
 
     def _deliver(
-        self, task: _Task, response: http1.Response
+        self,
+        exchange: _exchange.Exchange,
+        task: _Task,
+        response: http1.Response,
     ) -> _exchange.Answer:
         """Returns an upstream's own answer."""
+        if response.status >= 500:
+            self._log("request.answered", exchange, task, response.status, "")
+        elif self._is_late(exchange, task):
+            self._log(
+                "request.answered", exchange, task, response.status, "late"
+            )
+        elif exchange.cancelled:
+            self._log(
+                "request.answered", exchange, task, response.status, "cancelled"
+            )
+        else:
+            self._sampled += 1
+            if self._sampled % SUCCESSES_PER_LINE == 0:
+                self._log(
+                    "request.answered", exchange, task, response.status, "ok"
+                )
         own_id = (self._needs.names.request_id, task.request_id.encode())
         return _exchange.Answer(
             response.status, [*response.headers, own_id], response.body
@@ -350,6 +411,7 @@
         task: _Task,
         status: int,
         reason: str,
+        **more: Any,
     ) -> None:
         telemetry.event(
             _LOGGER,
@@ -363,10 +425,13 @@
             nested=task.route.name in self._nested,
             offers=exchange.offers,
             arrivals=exchange.arrivals,
+            last=exchange.last,
+            final=exchange.final,
             took_s=round(self._now() - exchange.started_at, 4),
             left_s=round(task.caller_deadline - self._now(), 4),
             version=self._needs.holder.version,
             cancelled=exchange.cancelled,
+            **more,
         )
 
     def _budget(self, service: str) -> _budget.RetryBudget:
--- a/flamingolug/platform/tests/test_path.py
+++ b/flamingolug/platform/tests/test_path.py
@@ -1,5 +1,6 @@
 """The whole path: callers, two nodes, backend servers and the store."""
 
+import logging
 import unittest
 from collections.abc import Callable
 
@@ -258,6 +259,84 @@
         self.assertNotIn("s1", self.shelf.server.ran)
 
 
+class LogsTest(unittest.TestCase):
+    """Failed requests can be explained from the lines of all nodes."""
+
+    def setUp(self) -> None:
+        self.fleet = deployment.Deployment(("front", "shelf", "till"), _ROUTES)
+        self.front, self.shelf, self.till = self.fleet.machines
+        # The test run switches logs off.
+        logging.disable(logging.NOTSET)
+        self.addCleanup(logging.disable, logging.root.manager.disable)
+
+    def tearDown(self) -> None:
+        self.fleet.stop()
+
+    def _lines_of(self, request_id: str, name: str) -> list[str]:
+        """Sends a request; returns the lines that carry its id."""
+        method = b"POST" if name == "pay" else b"GET"
+        with self.assertLogs("flamingolug.gateway") as logs:
+            deployment.ask(self.front, name, request_id, method)
+        lines = [record.getMessage() for record in logs.records]
+        return [line for line in lines if f"id={request_id} " in line]
+
+    def test_each_failure_leaves_its_decisions(self) -> None:
+        cases: dict[str, tuple[str, Callable[[], None], tuple[str, ...]]] = {
+            "refused under load": (
+                "pay",
+                self._refuse,
+                (
+                    "event=gate.unanswered .*reason=upstream-refused .*limit=",
+                    "event=request.refused .*status=503 .*final=",
+                ),
+            ),
+            "tried again, then failed": (
+                "read",
+                self._fail,
+                ("event=request.answered .*status=500 .*arrivals=1",),
+            ),
+            "lost at the upstream": (
+                "pay",
+                self._lose,
+                (
+                    "event=upstream.lost .*upstream=",
+                    "event=gate.unanswered .*verdict=unknown",
+                    "event=request.failed .*status=502 .*final=not-idempotent",
+                ),
+            ),
+            "another upstream came": (
+                "read",
+                self._replace,
+                (
+                    "event=gate.unanswered .*reason=not-here",
+                    "event=request.retried|event=request.refused",
+                ),
+            ),
+        }
+        for number, (name, case) in enumerate(cases.items()):
+            route, cause, expected = case
+            with self.subTest(name):
+                cause()
+                lines = "\n".join(self._lines_of(f"log{number}", route))
+                for pattern in expected:
+                    self.assertRegex(lines, pattern)
+                self.till.server.refuse = False
+                self.till.server.answer = None
+                self.shelf.server.fail = False
+
+    def _refuse(self) -> None:
+        self.till.server.refuse = True
+
+    def _fail(self) -> None:
+        self.shelf.server.fail = True
+
+    def _lose(self) -> None:
+        self.till.server.answer = _cut_and_close(self.till)
+
+    def _replace(self) -> None:
+        self.shelf.server.id = "i-another"
+
+
 class ConfigurationTest(unittest.TestCase):
     """The configuration in force."""
 
