--- a/flamingolug/cli/_program.py
+++ b/flamingolug/cli/_program.py
@@ -6,6 +6,7 @@
 
 from flamingolug import errors
 from flamingolug.cli import _fleet_commands
+from flamingolug.cli import _log_commands
 from flamingolug.cli import _manifest_commands
 from flamingolug.cli import _output
 
@@ -18,6 +19,8 @@
     _manifest_commands.SchemaCommand,
     _fleet_commands.StatusCommand,
     _fleet_commands.DrainCommand,
+    _log_commands.ExplainCommand,
+    _log_commands.IncidentCommand,
 )
 
 
--- /dev/null
+++ b/flamingolug/cli/tests/test_log_commands.py
@@ -0,0 +1,82 @@
+"""The commands that read logs."""
+
+import pathlib
+import tempfile
+import unittest
+
+from cleo.testers import command_tester
+
+from flamingolug import errors
+from flamingolug import telemetry
+from flamingolug.cli import _log_commands
+from flamingolug.cli import _output
+
+_ENTRY = """\
+ts=100.000 level=WARNING node=a event=store.lost task=directory step=s error="x"
+ts=103.000 level=INFO node=a event=request.retried id=r1 reason=shed last=i-1
+ts=103.020 level=INFO node=a event=request.refused id=r1 reason=shed status=503
+ts=103.030 level=INFO node=a event=request.refused id=r2 reason=shed status=503
+ts=104.000 level=INFO node=a event=log.left_out of=request.refused reason=shed \
+lines=7
+not a line of ours
+"""
+_GATE = """\
+ts=103.010 level=INFO node=b event=gate.unanswered id=r1 reason=shed limit=50
+ts=103.011 level=INFO node=c event=link.lost peer=x reason=silent
+"""
+
+
+class ReadingTest(unittest.TestCase):
+    def test_lines_come_back_as_they_were_written(self) -> None:
+        text = 'ts=1.5 level=INFO node=n event=e a="b \\"c\\" d" empty="" x=1'
+        (line,) = telemetry.read_lines([text, "garbage", "event=e no=time"])
+        self.assertEqual((line.at, line.node, line.event), (1.5, "n", "e"))
+        self.assertEqual(line.fields, {"a": 'b "c" d', "empty": "", "x": "1"})
+
+
+class LogCommandsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.paths: list[str] = []
+        for name, text in (("a", _ENTRY), ("b", _GATE)):
+            path = pathlib.Path(directory.name) / name
+            path.write_text(text)
+            self.paths.append(str(path))
+
+    def test_a_request_is_told_across_nodes_in_order(self) -> None:
+        tester = command_tester.CommandTester(_log_commands.ExplainCommand())
+        code = tester.execute(f"r1 {' '.join(self.paths)}")
+        self.assertEqual(code, _output.ExitCode.OK)
+        events = [
+            line.split(" s ")[1].split()[:2]
+            for line in tester.io.fetch_output().splitlines()
+        ]
+        self.assertEqual(
+            events,
+            [
+                ["a", "store.lost"],
+                ["a", "request.retried"],
+                ["b", "gate.unanswered"],
+                ["a", "request.refused"],
+            ],
+        )
+
+    def test_an_unknown_id_is_told(self) -> None:
+        tester = command_tester.CommandTester(_log_commands.ExplainCommand())
+        code = tester.execute(f"r9 {self.paths[0]}")
+        self.assertEqual(code, _output.ExitCode.UNREACHABLE)
+
+    def test_a_missing_file_is_an_error_with_its_path(self) -> None:
+        tester = command_tester.CommandTester(_log_commands.ExplainCommand())
+        with self.assertRaisesRegex(errors.ConfigurationError, "/no/such"):
+            tester.execute("r1 /no/such")
+
+    def test_an_incident_counts_what_was_left_out_too(self) -> None:
+        tester = command_tester.CommandTester(_log_commands.IncidentCommand())
+        code = tester.execute(" ".join(self.paths))
+        self.assertEqual(code, _output.ExitCode.OK)
+        output = tester.io.fetch_output()
+        self.assertRegex(output, r"9 request.refused shed")
+        self.assertRegex(output, r"1 link.lost silent")
+        self.assertRegex(output, r"2\.0 +2 #")
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -445,6 +445,6 @@
         key = f"{task.route.name}/{task.service}"
         found = self._throttles.get(key)
         if found is None:
-            found = _throttle.Throttle(self._now)
+            found = _throttle.Throttle(self._now, key)
             self._throttles[key] = found
         return found
--- a/flamingolug/gateway/_throttle.py
+++ b/flamingolug/gateway/_throttle.py
@@ -13,9 +13,13 @@
   end whatever it was. What is refused here does not count as failed.
 """
 
+import logging
 import random
 from collections.abc import Callable
 
+from flamingolug import telemetry
+
+_LOGGER = logging.getLogger(__name__)
 #: Seconds between two changes of the share; some outcomes fall in each.
 WINDOW_S = 0.25
 #: Part of finished requests that may fail before the share falls. Single
@@ -54,9 +58,15 @@
 class Throttle:
     """Share of the fresh requests of one kind that is admitted."""
 
-    def __init__(self, now: Callable[[], float]) -> None:
-        """Starts with everything admitted."""
+    def __init__(self, now: Callable[[], float], name: str = "") -> None:
+        """Starts with everything admitted.
+
+        Args:
+            now: clock.
+            name: route and service, for the log.
+        """
         self.share = 1.0
+        self._name = name
         self._now = now
         self._window_ends = now() + WINDOW_S
         self._settled_at = 0.0
@@ -112,6 +122,7 @@
             self.share = max(self.share * succeeding, MIN_SHARE)
             self._step = FIRST_STEP
             self._settled_at = self._window_ends + SETTLE_S
+            self._log("wasted")
             self._served = self._failed = 0.0
             return
         if self._wasted > CONCERNED and self._pressure > FULL_PRESSURE:
@@ -120,8 +131,25 @@
                 self.share * (1.0 - PRESSURE_DECREASE * excess), MIN_SHARE
             )
             self._step = FIRST_STEP
+            self._log("pressure")
             return
+        if self.share < 1.0 <= self.share + self._step:
+            self._log("recovered")
         self.share = min(self.share + self._step, 1.0)
         self._step *= STEP_GROWTH
         self._served *= KEPT
         self._failed *= KEPT
+
+    def _log(self, reason: str) -> None:
+        """Tells why the share changes."""
+        telemetry.event(
+            _LOGGER,
+            "admission.changed",
+            reason=reason,
+            kind=self._name,
+            share=round(self.share, 3),
+            served=round(self._served, 1),
+            failed=round(self._failed, 1),
+            wasted=round(self._wasted, 3),
+            pressure=round(self._pressure, 2),
+        )
--- a/flamingolug/telemetry/__init__.py
+++ b/flamingolug/telemetry/__init__.py
@@ -10,10 +10,13 @@
 from flamingolug.telemetry._names import Refusal
 from flamingolug.telemetry._names import Retry
 from flamingolug.telemetry._names import RetryDenied
+from flamingolug.telemetry._reading import Line
+from flamingolug.telemetry._reading import read_lines
 
 __all__ = [
     "BoundedHandler",
     "Counters",
+    "Line",
     "LineLimit",
     "Refusal",
     "Retry",
@@ -22,4 +25,5 @@
     "configure_bounded",
     "event",
     "failure",
+    "read_lines",
 ]
