--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -334,7 +334,13 @@
     ) -> _exchange.Answer:
         """Returns an upstream's own answer."""
         if response.status >= 500:
-            self._log("request.answered", exchange, task, response.status, "")
+            self._log(
+                "request.answered",
+                exchange,
+                task,
+                response.status,
+                "upstream-failed",
+            )
         elif self._is_late(exchange, task):
             self._log(
                 "request.answered", exchange, task, response.status, "late"
--- a/flamingolug_bench/program.py
+++ b/flamingolug_bench/program.py
@@ -24,6 +24,7 @@
     parser.add_argument("--duration", type=float, default=0.0)
     parser.add_argument("--nodes", type=int, default=0)
     parser.add_argument("--seeds", default="", help="A-B, for soak")
+    parser.add_argument("--variant", default="", help="known fault, for soak")
     args = parser.parse_args()
     # A bench that is told to stop ends what it has started.
     signal.signal(signal.SIGTERM, _interrupt)
@@ -57,7 +58,7 @@
         "faults": faults.run,
         "join": control.run_join,
         "rolling": rolling.run,
-        "soak": soak.run,
+        "soak": lambda seed, duration: soak.run(seed, soak.Plan(duration)),
     }
     for name in flood.SCENES:
         scenes[name] = lambda seed, duration, name=name: _flood(name, seed)
@@ -67,12 +68,17 @@
 
 def _soak(args: argparse.Namespace) -> dict[str, object]:
     """Plays one seed of the soak, or a series."""
-    count = args.nodes or soak.DEFAULT_INSTANCES
+    program: tuple[str, ...] = soak.PROGRAM
+    if args.variant:
+        program = ("flamingolug_bench.soak.variants", args.variant)
+    plan = soak.Plan(
+        args.duration, args.nodes or soak.DEFAULT_INSTANCES, program
+    )
     if not args.seeds:
-        return soak.run(args.seed, args.duration, count)
+        return soak.run(args.seed, plan)
     first, _, last = args.seeds.partition("-")
     seeds = range(int(first), int(last or first) + 1)
-    return soak.run_series(seeds, args.duration, count)
+    return soak.run_series(seeds, plan)
 
 
 def _flood(name: str, seed: int) -> dict[str, object]:
--- a/flamingolug_bench/soak/__init__.py
+++ b/flamingolug_bench/soak/__init__.py
@@ -6,7 +6,9 @@
 """
 
 from flamingolug_bench.soak._run import DEFAULT_INSTANCES
+from flamingolug_bench.soak._run import Plan
+from flamingolug_bench.soak._run import PROGRAM
 from flamingolug_bench.soak._run import run
 from flamingolug_bench.soak._run import run_series
 
-__all__ = ["DEFAULT_INSTANCES", "run", "run_series"]
+__all__ = ["DEFAULT_INSTANCES", "PROGRAM", "Plan", "run", "run_series"]
--- a/flamingolug_bench/soak/_run.py
+++ b/flamingolug_bench/soak/_run.py
@@ -3,6 +3,7 @@
 import pathlib
 import tempfile
 import time
+from typing import NamedTuple
 
 import gevent
 
@@ -140,22 +141,30 @@
         return record.status
 
 
+class Plan(NamedTuple):
+    """How each seed is played."""
+
+    #: Seconds in which disruptions begin; 0 for the usual time.
+    duration_s: float = 0.0
+    instances: int = DEFAULT_INSTANCES
+    #: Module that runs a node, and its arguments.
+    program: tuple[str, ...] = PROGRAM
+
+
 def run(
-    seed: int,
-    duration_s: float = 0.0,
-    count: int = DEFAULT_INSTANCES,
-    program: tuple[str, ...] = PROGRAM,
-    quiet: bool = False,
+    seed: int, plan: Plan | None = None, quiet: bool = False
 ) -> dict[str, object]:
     """Plays one seed; returns its figures.
 
     Logs of the nodes are kept where a promise was broken.
     """
-    duration_s = duration_s or DEFAULT_SECONDS
+    plan = plan or Plan()
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    steps = _faults.plan(seed, duration_s, count)
+    steps = _faults.plan(
+        seed, plan.duration_s or DEFAULT_SECONDS, plan.instances
+    )
     tally = _faults.Tally()
-    place = _place.Place(count, directory, program)
+    place = _place.Place(plan.instances, directory, plan.program)
     broken: list[_promises.Broken] = []
     callers: _callers.Callers | None = None
     try:
@@ -184,14 +193,12 @@
     }
 
 
-def run_series(
-    seeds: range, duration_s: float = 0.0, count: int = DEFAULT_INSTANCES
-) -> dict[str, object]:
+def run_series(seeds: range, plan: Plan) -> dict[str, object]:
     """Plays several seeds; returns their figures."""
     total: dict[str, int] = {"broken": 0, "requests": 0, "faults": 0}
     failed: list[int] = []
     for seed in seeds:
-        figures = run(seed, duration_s, count, quiet=True)
+        figures = run(seed, plan, quiet=True)
         for name in total:
             total[name] += int(str(figures[name]))
         if figures["broken"]:
--- a/flamingolug_bench/soak/tests/test_soak.py
+++ b/flamingolug_bench/soak/tests/test_soak.py
@@ -123,6 +123,6 @@
 
 class SoakTest(unittest.TestCase):
     def test_a_short_run_breaks_no_promise(self) -> None:
-        figures = soak.run(_SEED, _SECONDS, quiet=True)
+        figures = soak.run(_SEED, soak.Plan(_SECONDS), quiet=True)
         self.assertEqual(figures["promises"], "-")
         self.assertNotEqual(figures["requests"], 0)
