--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -32,6 +32,11 @@
 #: together when many start.
 PAUSE_PER_ENTRY_S = 0.005
 MAX_PAUSE_S = 1.0
+#: Seconds for which a node may know less than a peer before it takes its watch
+#: for dead; a watch is late by a pause and, at a slow store, a second more.
+BEHIND_S = 2.5
+#: Seconds between two new beginnings for that reason.
+RESTART_INTERVAL_S = 5.0
 
 
 def encode_entry(upstream: _model.Upstream) -> bytes:
@@ -110,6 +115,15 @@
         self.synced = event.Event()
         #: Whether the store gave no entries yet and nobody else did.
         self.uninformed = False
+        #: Revision of the last change of an entry that was seen.
+        self.revision = 0
+        #: Revision up to which the store has told every change.
+        self._covered = 0
+        #: Since when a peer knows of a later change, None if none does.
+        self._behind_since: float | None = None
+        self._restarted_at = 0.0
+        #: Whether the store has failed since it last answered.
+        self._failing = False
         self._needs = needs
         self._task: gevent.Greenlet[[], None] | None = None
         self._known: dict[str, Known] = {}
@@ -154,26 +168,67 @@
         """Returns how many nodes have an entry."""
         return len(self._keys_at)
 
-    def entries(self) -> list[store.Item]:
-        """Returns the entries of the upstreams that take work."""
+    def entries(self, after: int) -> list[store.Item]:
+        """Returns entries of upstreams that take work, behind a revision."""
         return [
             store.Item(key, encode_entry(known.upstream), known.revision)
             for key, known in self._known.items()
-            if known.upstream.state is _model.UpstreamState.READY
+            if known.revision > after
+            and known.upstream.state is _model.UpstreamState.READY
         ]
 
+    @property
+    def known_up_to(self) -> int:
+        """Revision up to which every change is known."""
+        return max(self.revision, self._covered)
+
+    def note_peer(self, revision: int) -> bool:
+        """Takes in the last change that a peer knows.
+
+        A node that stays behind its peers has a watch that went silent, or no
+        way to the store.
+
+        Returns:
+            Whether the entries behind `known_up_to` are wanted from it.
+        """
+        if revision <= self.known_up_to:
+            self._behind_since = None
+            return False
+        now = self._needs.timers.now()
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since < BEHIND_S:
+            return False
+        if now - self._restarted_at < RESTART_INTERVAL_S:
+            return False
+        self._restarted_at = now
+        telemetry.event(
+            _LOGGER,
+            "directory.behind",
+            level=logging.WARNING,
+            revision=self.known_up_to,
+            told=revision,
+            age_s=round(now - self._behind_since, 2),
+        )
+        if self._task is not None and not self._failing:
+            self._task.kill(block=False)
+            self.start()
+        return True
+
     def take_from_peer(self, items: list[store.Item]) -> None:
-        """Takes in the entries of a peer while the store has given none.
+        """Takes in entries that a peer knows and this node does not.
 
         What the store says later replaces them.
         """
-        if self.synced.is_set() or not items:
+        after = self.known_up_to
+        later = [item for item in items if item.revision > after]
+        if not later:
             return
         self.uninformed = False
-        telemetry.event(_LOGGER, "directory.from_peer", entries=len(items))
-        for item in items:
-            if item.key not in self._known:
-                self.apply(item)
+        telemetry.event(_LOGGER, "directory.from_peer", entries=len(later))
+        for item in later:
+            self.apply(item)
+            self.revision = max(self.revision, item.revision)
 
     def apply(self, item: store.Item) -> None:
         """Takes in one entry or its removal."""
@@ -278,15 +333,19 @@
                 after = -1
                 continue
             except errors.StoreError as exc:
+                self._failing = True
                 if not self.synced.is_set() and not self._known:
                     self.uninformed = True
                     self._needs.ask_peer()
                 backoff.wait(exc)
                 continue
             backoff.succeeded()
+            self._failing = False
             after = max(after, page.as_of)
             for item in page.items:
                 self.apply(item)
+                self.revision = max(self.revision, item.revision)
+            self._covered = after
             self.forget_lapsed()
             if page.items:
                 gevent.sleep(
@@ -302,9 +361,12 @@
         present = {item.key for item in page.items}
         for item in page.items:
             self.apply(item)
+            self.revision = max(self.revision, item.revision)
         for key in list(self._known):
             if key not in present:
                 self._remove(key)
+        self._covered = page.as_of
         self.uninformed = False
+        self._failing = False
         self.synced.set()
         return page.as_of
--- a/flamingolug/gateway/_frames.py
+++ b/flamingolug/gateway/_frames.py
@@ -22,6 +22,8 @@
     zone: str
     #: Version of the configuration in force, 0 for none.
     version: int
+    #: Revision of the last change of an entry that the sender knows.
+    entries: int
 
 
 class CallFrame(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -79,15 +81,19 @@
 
 
 class Ping(msgspec.Struct, array_like=True, tag=5, frozen=True):
-    """Asks for a sign of life; tells the version in force."""
+    """Asks for a sign of life; tells what the sender knows."""
 
     version: int
+    #: Revision of the last change of an entry.
+    entries: int
 
 
 class Status(msgspec.Struct, array_like=True, tag=6, frozen=True):
     """Sign of life, also sent unasked when the state changes."""
 
     version: int
+    #: Revision of the last change of an entry.
+    entries: int
     #: Upstream that takes work now, empty for none.
     upstream_id: str
     load: LoadFrame
@@ -104,7 +110,10 @@
 
 
 class EntriesRequest(msgspec.Struct, array_like=True, tag=9, frozen=True):
-    """Asks for the entries of all upstreams; the store gives none."""
+    """Asks for entries of upstreams; the store gives none."""
+
+    #: Only entries with a higher revision are asked for.
+    after: int
 
 
 class Entry(msgspec.Struct, array_like=True, frozen=True):
@@ -116,7 +125,7 @@
 
 
 class EntriesFrame(msgspec.Struct, array_like=True, tag=10, frozen=True):
-    """The entries of all upstreams that take work."""
+    """Entries of upstreams that take work."""
 
     entries: list[Entry]
 
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -85,8 +85,15 @@
     #: Takes in the state of the upstream beside a peer: address, upstream
     #: taking work, load.
     on_status: Callable[[tuple[str, int], str, _model.LoadReport], None]
-    #: Entries of the upstreams that take work.
-    entries: Callable[[], list[store.Item]]
+    #: Revision of the last change of an entry that this node knows.
+    entries_revision: Callable[[], int]
+    #: Takes in such a revision of a peer; returns whether this node wants the
+    #: entries behind its own.
+    on_entries_revision: Callable[[int], bool]
+    #: Revision up to which this node knows every change.
+    known_up_to: Callable[[], int]
+    #: Entries of upstreams that take work, behind a revision.
+    entries: Callable[[int], list[store.Item]]
     #: Takes in the entries that a peer knows.
     on_entries: Callable[[list[store.Item]], None]
 
@@ -302,7 +309,11 @@
         probe_after_s = QUIET_S if busy else IDLE_PROBE_S
         if quiet_s > probe_after_s and now - self.probed_at > probe_after_s:
             self.probed_at = now
-            self._wire.send(_frames.Ping(self._needs.version()))
+            self._wire.send(
+                _frames.Ping(
+                    self._needs.version(), self._needs.entries_revision()
+                )
+            )
 
     def fail(self, reason: str) -> None:
         """Ends the link; what was sent on it may have run."""
@@ -346,7 +357,12 @@
         self._wire = Wire(stream, self.peer)
         identity = self._needs.cfg.identity
         self._wire.send(
-            _frames.Hello(identity.name, identity.zone, self._needs.version())
+            _frames.Hello(
+                identity.name,
+                identity.zone,
+                self._needs.version(),
+                self._needs.entries_revision(),
+            )
         )
         self._connected.set()
         try:
@@ -378,6 +394,8 @@
     if isinstance(frame, _frames.Hello | _frames.Ping | _frames.Status):
         if frame.version > needs.version():
             wire.send(_frames.ConfigurationRequest())
+        if needs.on_entries_revision(frame.entries):
+            wire.send(_frames.EntriesRequest(needs.known_up_to()))
         return
     if isinstance(frame, _frames.ConfigurationRequest):
         document = needs.document()
@@ -390,7 +408,7 @@
     if isinstance(frame, _frames.EntriesRequest):
         entries = [
             _frames.Entry(item.key, item.value or b"", item.revision)
-            for item in needs.entries()
+            for item in needs.entries(frame.after)
         ]
         wire.send(_frames.EntriesFrame(entries))
         return
--- a/flamingolug/gateway/_peer_server.py
+++ b/flamingolug/gateway/_peer_server.py
@@ -52,13 +52,16 @@
         identity = self._needs.links.cfg.identity
         wire.send(
             _frames.Hello(
-                identity.name, identity.zone, self._needs.links.version()
+                identity.name,
+                identity.zone,
+                self._needs.links.version(),
+                self._needs.links.entries_revision(),
             )
         )
         self._wires.add(wire)
         wire.send(self._status())
         if self._needs.uninformed():
-            wire.send(_frames.EntriesRequest())
+            wire.send(_frames.EntriesRequest(0))
         tickets: dict[int, _slots.Ticket] = {}
         try:
             for frames in wire.read():
@@ -83,7 +86,7 @@
         """Asks one of the linked nodes for the entries of upstreams."""
         if self._wires:
             wire = self._needs.rng.choice(list(self._wires))
-            wire.send(_frames.EntriesRequest())
+            wire.send(_frames.EntriesRequest(0))
 
     def _announce(self) -> None:
         self._announce_due = False
@@ -95,6 +98,7 @@
         gate = self._needs.gate
         return _frames.Status(
             self._needs.links.version(),
+            self._needs.links.entries_revision(),
             gate.upstream_id,
             _link.from_load(gate.load()),
         )
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -112,6 +112,9 @@
 def _build_link_needs(built: kernel.Kernel) -> object:
     holder = built.get("gateway.holder", _holder.Holder)
 
+    def directory() -> _directory.Directory:
+        return built.get("gateway.directory", _directory.Directory)
+
     def on_status(
         address: tuple[str, int], upstream_id: str, load: _model.LoadReport
     ) -> None:
@@ -127,10 +130,11 @@
         holder.document,
         lambda document: holder.offer(document, "peer"),
         on_status,
-        lambda: built.get("gateway.directory", _directory.Directory).entries(),
-        lambda items: built.get(
-            "gateway.directory", _directory.Directory
-        ).take_from_peer(items),
+        lambda: directory().revision,
+        lambda revision: directory().note_peer(revision),
+        lambda: directory().known_up_to,
+        lambda after: directory().entries(after),
+        lambda items: directory().take_from_peer(items),
     )
 
 
