--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -119,6 +119,8 @@
         self.revision = 0
         #: Revision up to which the store has told every change.
         self._covered = 0
+        #: Highest revision that a peer has told.
+        self._told = 0
         #: Since when a peer knows of a later change, None if none does.
         self._behind_since: float | None = None
         self._restarted_at = 0.0
@@ -191,8 +193,11 @@
         Returns:
             Whether the entries behind `known_up_to` are wanted from it.
         """
-        if revision <= self.known_up_to:
+        if self._told <= self.known_up_to:
+            # Whatever was told before is known by now.
             self._behind_since = None
+        self._told = max(self._told, revision)
+        if revision <= self.known_up_to:
             return False
         now = self._needs.timers.now()
         if self._behind_since is None:
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -107,6 +107,8 @@
     def __init__(self, stream: http1.Stream, peer: str) -> None:
         """Takes over a connected stream."""
         self.peer = peer
+        #: When the state of the upstream was told last on this link.
+        self.told_at = 0.0
         #: Shortens what this side sends.
         self.writer = _repeats.Writer()
         #: Restores what the other side has shortened.
--- a/flamingolug/gateway/_peer_server.py
+++ b/flamingolug/gateway/_peer_server.py
@@ -19,6 +19,9 @@
 from flamingolug.gateway import _slots
 
 _LOGGER = logging.getLogger(__name__)
+#: Seconds between two status messages on a link that carries results. Links
+#: without calls are probed as often.
+STATUS_INTERVAL_S = 2.0
 
 
 class Needs(NamedTuple):
@@ -59,7 +62,7 @@
             )
         )
         self._wires.add(wire)
-        wire.send(self._status())
+        self._tell(wire)
         if self._needs.uninformed():
             wire.send(_frames.EntriesRequest(0))
         tickets: dict[int, _slots.Ticket] = {}
@@ -90,9 +93,13 @@
 
     def _announce(self) -> None:
         self._announce_due = False
-        status = self._status()
         for wire in list(self._wires):
-            wire.send(status)
+            self._tell(wire)
+
+    def _tell(self, wire: _link.Wire) -> None:
+        """Sends the state of the upstream, and what this node knows."""
+        wire.told_at = self._needs.links.timers.now()
+        wire.send(self._status())
 
     def _status(self) -> _frames.Status:
         gate = self._needs.gate
@@ -120,7 +127,7 @@
                 self._needs.gate.cancel(ticket)
             return
         if isinstance(frame, _frames.Ping):
-            wire.send(self._status())
+            self._tell(wire)
         _link.take_common(wire, frame, self._needs.links)
 
     def _to_call(
@@ -169,5 +176,9 @@
                     body=response.body,
                 )
             wire.send(result)
+            now = self._needs.links.timers.now()
+            if now - wire.told_at > STATUS_INTERVAL_S:
+                # It goes out together with the result.
+                self._tell(wire)
 
         return reply
--- a/flamingolug/gateway/tests/test_directory.py
+++ b/flamingolug/gateway/tests/test_directory.py
@@ -85,6 +85,8 @@
         self.store.as_of = 9
         self.assertFalse(self.directory.note_peer(9))
         self.at += _directory.BEHIND_S
+        # Another peer may be behind too.
+        self.assertFalse(self.directory.note_peer(7))
         self.assertTrue(self.directory.note_peer(9))
         gevent.sleep(0.01)
         self.assertEqual(self._names(), {"a", "b"})
@@ -99,6 +101,13 @@
                 self.assertFalse(self.directory.note_peer(revision))
         self.assertEqual(self.store.lists, 1)
 
+    def test_a_change_that_arrives_ends_the_count(self) -> None:
+        self._start()
+        self.directory.note_peer(9)
+        self.directory.take_from_peer([_item("a", 9)])
+        self.at += _directory.BEHIND_S
+        self.assertFalse(self.directory.note_peer(10))
+
     def test_a_node_that_stays_behind_does_not_press_the_store(self) -> None:
         self._start()
         self.store.down = True
--- a/flamingolug/platform/tests/test_gate.py
+++ b/flamingolug/platform/tests/test_gate.py
@@ -113,6 +113,24 @@
             self.shelf.server.most_running, self.shelf.server.slots
         )
 
+    def test_a_busy_link_is_told_what_the_node_knows(self) -> None:
+        """Links that carry results are not probed."""
+        with gevent.Timeout(10.0):
+            number = 0
+            told: list[_frames.Status] = []
+            while len(told) < 2:
+                number += 1
+                self.send(self.call(number))
+                self.result(number)
+                gevent.sleep(0.1)
+                told = [
+                    frame
+                    for frame in self.frames
+                    if isinstance(frame, _frames.Status)
+                ]
+        self.assertEqual(told[-1].version, 3)
+        self.assertGreater(told[-1].entries, 0)
+
     def test_unreadable_bytes_end_the_link_only(self) -> None:
         self.stream.send_all(b"\x00\x00\x00\x03abc")
         with gevent.Timeout(3.0):
