--- a/flamingolug/gateway/_throttle.py
+++ b/flamingolug/gateway/_throttle.py
@@ -53,9 +53,9 @@
 CONCERNED = 0.03
 #: Weight of a new report in the pressure.
 PRESSURE_SMOOTHING = 0.2
-#: Pressure that is aimed at: waiting calls are a third of the running ones, so
-#: that a slot finds its next call at once and a wait is a third of a hold.
-TARGET_PRESSURE = 1.3
+#: Pressure that is aimed at: calls wait for a tenth of the slots, so that each
+#: slot finds its next call at once and a wait is a tenth of a hold.
+TARGET_PRESSURE = 1.1
 #: Pressure from which the share is regulated; below, slots are free.
 REGULATED_PRESSURE = 0.9
 #: Change of the share's logarithm in a window for each unit by which the
