--- a/flamingolug_bench/soak/_run.py
+++ b/flamingolug_bench/soak/_run.py
@@ -15,7 +15,7 @@
 DEFAULT_SECONDS = 12.0
 DEFAULT_INSTANCES = 6
 #: Program that a node is: module and arguments.
-PROGRAM = ("flamingolug.platform",)
+PROGRAM = ("flamingolug.launcher",)
 #: Seconds of calm whose requests tell whether the fleet has recovered.
 _CALM_S = 2.5
 #: Seconds after a new version until each node in touch must follow it.
--- a/flamingolug_bench/soak/variants.py
+++ b/flamingolug_bench/soak/variants.py
@@ -4,6 +4,7 @@
 """
 
 import re
+import signal
 import sys
 from collections.abc import Callable
 
@@ -97,6 +98,7 @@
 
 def main() -> int:
     """Entry point: runs a node with the fault that is named."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     VARIANTS[sys.argv[1]]()
     return program.main()
 
