--- a/flamingolug/platform/tests/deployment.py
+++ b/flamingolug/platform/tests/deployment.py
@@ -7,12 +7,12 @@
 from collections.abc import Collection
 
 import gevent
-import msgspec
 
 from flamingolug import gateway
 from flamingolug import http1
 from flamingolug import platform
 from flamingolug.gateway import _directory
+from flamingolug_standins import documents
 from flamingolug_standins import leased_store
 from flamingolug_standins import sealing_server
 
@@ -43,43 +43,6 @@
         gevent.sleep(0.02)
 
 
-def route(name: str, service: str, **changes: object) -> dict[str, object]:
-    """Returns a route resource; `changes` replace fields of its spec."""
-    spec: dict[str, object] = {
-        "Hostname": "shop.example",
-        "Prefix": f"/{name}/",
-        "Kind": "safe",
-        "TimeoutMs": 1500,
-        "TargetLatencyMs": 1000,
-        "MaxAttempts": 2,
-        "Priority": 1,
-        "Service": service,
-    }
-    spec.update(changes)
-    return {
-        "ResourceType": "Routes",
-        "Metadata": {"Name": name},
-        "Spec": spec,
-    }
-
-
-def document(version: int, routes: list[dict[str, object]]) -> bytes:
-    """Returns a configuration document."""
-    limits = {
-        "ResourceType": "Limits",
-        "Metadata": {},
-        "Spec": {
-            "MaxHeaderBytes": 16384,
-            "MaxBodyBytes": 1048576,
-            "HeaderTimeoutMs": 1000,
-            "IdleTimeoutMs": 15000,
-        },
-    }
-    return msgspec.json.encode(
-        {"Version": f"r{version}", "Resources": [*routes, limits]}
-    )
-
-
 class Machine:
     """One instance: a node and the backend server beside it."""
 
@@ -159,7 +122,7 @@
         self.store = leased_store.LeasedStore(
             f"127.0.0.{next(_HOSTS) + 10}", _BASE + _STORE
         )
-        self.store.put("op/config", document(3, routes))
+        self.store.put("op/config", documents.make_document(3, routes))
         self.machines = [
             Machine(service, self.store.address, "z1", grace_s)
             for service in services
@@ -186,7 +149,7 @@
         method,
         f"/{name}/x?y=1".encode(),
         [
-            (b"host", b"shop.example"),
+            (b"host", documents.HOST.encode()),
             (b"x-attempt-id", request_id.encode()),
             (b"x-deadline-ms", b"3000"),
         ],
--- a/flamingolug/platform/tests/test_gate.py
+++ b/flamingolug/platform/tests/test_gate.py
@@ -9,6 +9,7 @@
 from flamingolug.gateway import _frames
 from flamingolug.gateway import _model
 from flamingolug.platform.tests import deployment
+from flamingolug_standins import documents
 
 
 class Case(NamedTuple):
@@ -24,7 +25,7 @@
 
     def setUp(self) -> None:
         self.fleet = deployment.Deployment(
-            ("shelf",), [deployment.route("read", "shelf")]
+            ("shelf",), [documents.make_route("read", "shelf")]
         )
         self.shelf = self.fleet.machines[0]
         self.stream = http1.connect(*self.shelf.settings.link, timeout_s=1.0)
--- a/flamingolug/platform/tests/test_path.py
+++ b/flamingolug/platform/tests/test_path.py
@@ -11,10 +11,11 @@
 from flamingolug.gateway import _gate
 from flamingolug.gateway import _holder
 from flamingolug.platform.tests import deployment
+from flamingolug_standins import documents
 
 _ROUTES = [
-    deployment.route("read", "shelf"),
-    deployment.route("pay", "till", Kind="non_idempotent"),
+    documents.make_route("read", "shelf"),
+    documents.make_route("pay", "till", Kind="non_idempotent"),
 ]
 
 
@@ -348,8 +349,10 @@
         self.fleet.stop()
 
     def _put(self, version: int, name: str) -> None:
-        routes = [deployment.route(name, "shelf")]
-        self.fleet.store.put("op/config", deployment.document(version, routes))
+        routes = [documents.make_route(name, "shelf")]
+        self.fleet.store.put(
+            "op/config", documents.make_document(version, routes)
+        )
 
     def _wait_for(self, version: int) -> None:
         holder = self.front.node.parts.get("gateway.holder", _holder.Holder)
@@ -384,7 +387,8 @@
 
     def test_a_restarted_node_learns_from_its_peers(self) -> None:
         fleet = deployment.Deployment(
-            ("front", "shelf"), [*_ROUTES, deployment.route("home", "front")]
+            ("front", "shelf"),
+            [*_ROUTES, documents.make_route("home", "front")],
         )
         front, shelf = fleet.machines
         fleet.store.down = True
--- a/flamingolug_bench/soak/_callers.py
+++ b/flamingolug_bench/soak/_callers.py
@@ -10,6 +10,7 @@
 from flamingolug import errors
 from flamingolug import http1
 from flamingolug_bench.soak import _place
+from flamingolug_standins import documents
 
 #: Milliseconds that a caller waits.
 DEADLINE_MS = 2000
@@ -113,7 +114,7 @@
         method,
         f"/{route}/x".encode(),
         [
-            (b"host", b"soak.example"),
+            (b"host", documents.HOST.encode()),
             (b"x-attempt-id", request_id.encode()),
             (b"x-deadline-ms", str(DEADLINE_MS).encode()),
         ],
--- a/flamingolug_bench/soak/_faults.py
+++ b/flamingolug_bench/soak/_faults.py
@@ -77,51 +77,42 @@
         self.accepted: dict[int, float] = {}
 
 
-_Action = Callable[[_place.Place, _place.Instance, float, Tally], None]
+class Scene(NamedTuple):
+    """Where and for how long a disruption strikes."""
+
+    place: _place.Place
+    instance: _place.Instance
+    for_s: float
+    tally: Tally
+
+
+_Action = Callable[[Scene], None]
 
 
 def _on_relay(relay: str, fault: relay_program.Fault) -> _Action:
-    def act(
-        place: _place.Place,
-        instance: _place.Instance,
-        for_s: float,
-        tally: Tally,
-    ) -> None:
-        del place, tally
-        instance.set_fault(relay, fault)
-        gevent.sleep(for_s)
-        instance.set_fault(relay, relay_program.Fault())
+    def act(scene: Scene) -> None:
+        scene.instance.set_fault(relay, fault)
+        gevent.sleep(scene.for_s)
+        scene.instance.set_fault(relay, relay_program.Fault())
 
     return act
 
 
 def _on_store(name: str, value: float) -> _Action:
-    def act(
-        place: _place.Place,
-        instance: _place.Instance,
-        for_s: float,
-        tally: Tally,
-    ) -> None:
-        del instance, tally
-        before = getattr(place.store, name)
-        setattr(place.store, name, value)
-        gevent.sleep(for_s)
-        setattr(place.store, name, type(before)(0))
+    def act(scene: Scene) -> None:
+        before = getattr(scene.place.store, name)
+        setattr(scene.place.store, name, value)
+        gevent.sleep(scene.for_s)
+        setattr(scene.place.store, name, type(before)(0))
 
     return act
 
 
 def _on_upstream(name: str, value: object, usual: object) -> _Action:
-    def act(
-        place: _place.Place,
-        instance: _place.Instance,
-        for_s: float,
-        tally: Tally,
-    ) -> None:
-        del place, tally
-        upstream = instance.upstream
+    def act(scene: Scene) -> None:
+        upstream = scene.instance.upstream
         setattr(upstream, name, value)
-        gevent.sleep(for_s)
+        gevent.sleep(scene.for_s)
         setattr(upstream, name, usual)
 
     return act
@@ -142,83 +133,61 @@
     return data[:-3]
 
 
-def _kill(
-    place: _place.Place, instance: _place.Instance, for_s: float, tally: Tally
-) -> None:
-    del place, for_s, tally
-    instance.signal_node(signal.SIGKILL)
+def _kill(scene: Scene) -> None:
+    scene.instance.signal_node(signal.SIGKILL)
     gevent.sleep(RESTART_AFTER_S)
 
 
-def _kill_many(
-    place: _place.Place, instance: _place.Instance, for_s: float, tally: Tally
-) -> None:
-    del instance, for_s, tally
-    for each in place.instances[::2]:
+def _kill_many(scene: Scene) -> None:
+    for each in scene.place.instances[::2]:
         each.signal_node(signal.SIGKILL)
     gevent.sleep(RESTART_AFTER_S)
 
 
-def _pause(
-    place: _place.Place, instance: _place.Instance, for_s: float, tally: Tally
-) -> None:
-    del place, tally
-    instance.signal_node(signal.SIGSTOP)
-    gevent.sleep(for_s)
-    instance.signal_node(signal.SIGCONT)
+def _pause(scene: Scene) -> None:
+    scene.instance.signal_node(signal.SIGSTOP)
+    gevent.sleep(scene.for_s)
+    scene.instance.signal_node(signal.SIGCONT)
 
 
-def _term(
-    place: _place.Place, instance: _place.Instance, for_s: float, tally: Tally
-) -> None:
-    del place, for_s
-    if instance.ending or instance.has_ended():
+def _term(scene: Scene) -> None:
+    if scene.instance.ending or scene.instance.has_ended():
         return
-    began, start = time.monotonic(), instance.starts
-    process = instance.process
+    began, start = time.monotonic(), scene.instance.starts
+    process = scene.instance.process
     assert process is not None
-    instance.signal_node(signal.SIGTERM)
+    scene.instance.signal_node(signal.SIGTERM)
     while process.poll() is None:
         if time.monotonic() - began > _place.GRACE_S:
-            instance.signal_node(signal.SIGKILL)
+            scene.instance.signal_node(signal.SIGKILL)
             break
         gevent.sleep(0.05)
-    tally.stops.append(
-        Stop(instance.name, start, began, time.monotonic(), process.poll())
+    scene.tally.stops.append(
+        Stop(
+            scene.instance.name, start, began, time.monotonic(), process.poll()
+        )
     )
 
 
-def _hang_up(
-    place: _place.Place, instance: _place.Instance, for_s: float, tally: Tally
-) -> None:
-    del place, for_s, tally
-    instance.signal_node(signal.SIGHUP)
+def _hang_up(scene: Scene) -> None:
+    scene.instance.signal_node(signal.SIGHUP)
 
 
-def _configure(
-    place: _place.Place, instance: _place.Instance, for_s: float, tally: Tally
-) -> None:
-    del instance, for_s
-    place.accept_configuration()
-    tally.accepted[place.version] = time.monotonic()
+def _configure(scene: Scene) -> None:
+    scene.place.accept_configuration()
+    scene.tally.accepted[scene.place.version] = time.monotonic()
 
 
-def _forget(
-    place: _place.Place, instance: _place.Instance, for_s: float, tally: Tally
-) -> None:
-    del instance, for_s, tally
-    place.store.forget_history()
+def _forget(scene: Scene) -> None:
+    scene.place.store.forget_history()
 
 
-def _lapse(
-    place: _place.Place, instance: _place.Instance, for_s: float, tally: Tally
-) -> None:
+def _lapse(scene: Scene) -> None:
     """Ends all leases while the store is away."""
-    del instance, tally
-    place.store.down = True
-    place.store.drop_leases()
-    gevent.sleep(for_s)
-    place.store.down = False
+    scene.place.store.down = True
+    scene.place.store.drop_leases()
+    gevent.sleep(scene.for_s)
+    scene.place.store.down = False
 
 
 def _replace_upstream(instance: _place.Instance) -> None:
@@ -230,37 +199,28 @@
     instance.upstream.born_ms += skew
 
 
-def _crash_upstream(
-    place: _place.Place, instance: _place.Instance, for_s: float, tally: Tally
-) -> None:
-    del place, tally
-    instance.upstream.stop()
-    gevent.sleep(for_s)
-    _replace_upstream(instance)
+def _crash_upstream(scene: Scene) -> None:
+    scene.instance.upstream.stop()
+    gevent.sleep(scene.for_s)
+    _replace_upstream(scene.instance)
 
 
 def _retire(first: str) -> _Action:
     """Returns how an upstream leaves that says `first` before it goes."""
 
-    def act(
-        place: _place.Place,
-        instance: _place.Instance,
-        for_s: float,
-        tally: Tally,
-    ) -> None:
-        del place, for_s
-        upstream = instance.upstream
+    def act(scene: Scene) -> None:
+        upstream = scene.instance.upstream
         if first == "draining":
             status = upstream.report("draining")
         else:
             status = upstream.leave()
         if status == 200:
-            tally.leaves.append(Leave(upstream.id, time.monotonic()))
+            scene.tally.leaves.append(Leave(upstream.id, time.monotonic()))
         gevent.sleep(_place.DRAIN_S + 0.5)
         if first == "draining":
             upstream.leave()
-        if upstream is instance.upstream:
-            _replace_upstream(instance)
+        if upstream is scene.instance.upstream:
+            _replace_upstream(scene.instance)
 
     return act
 
@@ -275,7 +235,7 @@
 
 
 _FAULT = relay_program.Fault
-#: Routes of `home` and `read` differ in speed when an upstream is slow.
+#: Seconds that a request takes at a slow upstream, and usually.
 _SLOW_S, _USUAL_S = 0.4, 0.005
 KINDS: dict[str, Kind] = {
     "node-kill": Kind(_kill),
@@ -369,7 +329,7 @@
     kind = KINDS[step.kind]
     instance = place.instances[step.target]
     since = time.monotonic()
-    kind.act(place, instance, step.for_s, tally)
+    kind.act(Scene(place, instance, step.for_s, tally))
     where = EVERYWHERE if kind.everywhere else instance.name
     tally.intervals.append(
         Interval(step.kind, where, since, time.monotonic(), kind.planned)
--- a/flamingolug_bench/soak/_place.py
+++ b/flamingolug_bench/soak/_place.py
@@ -7,9 +7,8 @@
 import sys
 import time
 
-import msgspec
-
 from flamingolug import http1
+from flamingolug_standins import documents
 from flamingolug_standins import leased_store
 from flamingolug_standins import relay_program
 from flamingolug_standins import sealing_server
@@ -223,43 +222,15 @@
 
 
 def _document(version: int) -> bytes:
+    made = documents.make_route
     routes = [
-        _route("read", "shelf", "safe", 1),
-        _route("pay", "till", "non_idempotent", 0),
-        _route("home", "front", "safe", 2),
-        _route(f"mark{version}", "shelf", "safe", 3),
+        made("read", "shelf"),
+        made("pay", "till", Kind="non_idempotent", Priority=0),
+        made("home", "front", Priority=2),
+        made(f"mark{version}", "shelf", Priority=3),
     ]
-    limits = {
-        "ResourceType": "Limits",
-        "Metadata": {},
-        "Spec": {
-            "MaxHeaderBytes": 16384,
-            "MaxBodyBytes": 1048576,
-            "HeaderTimeoutMs": 3000,
-            "IdleTimeoutMs": 15000,
-        },
-    }
-    return msgspec.json.encode(
-        {"Version": f"r{version}", "Resources": [*routes, limits]}
-    )
+    return documents.make_document(version, routes)
 
 
-def _route(name: str, service: str, kind: str, rank: int) -> dict[str, object]:
-    return {
-        "ResourceType": "Routes",
-        "Metadata": {"Name": name},
-        "Spec": {
-            "Hostname": "soak.example",
-            "Prefix": f"/{name}/",
-            "Kind": kind,
-            "TimeoutMs": 1500,
-            "TargetLatencyMs": 1000,
-            "MaxAttempts": MAX_ATTEMPTS,
-            "Priority": rank,
-            "Service": service,
-        },
-    }
-
-
-#: Upstreams that one request may be sent to.
+#: Upstreams that one request may be sent to, as the documents say.
 MAX_ATTEMPTS = 2
