--- a/flamingolug_bench/soak/_faults.py
+++ b/flamingolug_bench/soak/_faults.py
@@ -235,8 +235,8 @@
 
 
 _FAULT = relay_program.Fault
-#: Seconds that a request takes at a slow upstream, and usually.
-_SLOW_S, _USUAL_S = 0.4, 0.005
+#: Seconds that a request takes at a slow upstream.
+_SLOW_S = 0.4
 KINDS: dict[str, Kind] = {
     "node-kill": Kind(_kill),
     "node-kill-many": Kind(_kill_many, everywhere=True),
@@ -280,7 +280,7 @@
     "upstream-drain": Kind(_retire("draining"), planned=True),
     "upstream-leave": Kind(_retire("leave"), planned=True),
     "upstream-slow": Kind(
-        _on_upstream("service_s", _SLOW_S, _USUAL_S), everywhere=True
+        _on_upstream("service_s", _SLOW_S, _place.SERVICE_S), everywhere=True
     ),
     "upstream-refuses": Kind(
         _on_upstream("refuse", True, False), everywhere=True
--- a/flamingolug_bench/soak/_place.py
+++ b/flamingolug_bench/soak/_place.py
@@ -19,6 +19,9 @@
 GRACE_S = 6.0
 #: Seconds for which an upstream serves on after its leave is acknowledged.
 DRAIN_S = 2.0
+#: Seconds that a request takes at an upstream; long enough for several to be
+#: in progress whenever something breaks.
+SERVICE_S = 0.03
 #: Seconds between reports of an upstream.
 REPORT_INTERVAL_S = 1.0
 _OUTBOUND, _READY, _CONTROL, _APP, _LINK, _STORE = range(7100, 7106)
@@ -69,6 +72,7 @@
     ) -> None:
         """Starts to listen."""
         super().__init__(service, *address, control)
+        self.service_s = SERVICE_S
         self._ledger = ledger
 
     def _answer(self, req: http1.Request) -> bytes:
