--- a/flamingolug_bench/soak/_run.py
+++ b/flamingolug_bench/soak/_run.py
@@ -1,5 +1,6 @@
 """Runs one seed of the soak, or a series."""
 
+import collections
 import pathlib
 import tempfile
 import time
@@ -21,6 +22,12 @@
 #: Seconds after a new version until each node in touch must follow it.
 _CONFIGURED_S = 2.0
 _SUPERVISE_S = 0.1
+#: Ends of requests without a status.
+_NAMES = {
+    _callers.CUT: "cut",
+    _callers.NO_CONNECTION: "no-connection",
+    _callers.SILENT: "silent",
+}
 #: Broken promises that are printed of one run.
 _MOST_PRINTED = 12
 
@@ -183,12 +190,15 @@
     finally:
         place.stop()
     _tell(broken, directory)
-    served = sum(record.status == 200 for record in callers.records)
+    statuses = collections.Counter(each.status for each in callers.records)
     return {
         "broken": len(broken),
         "promises": ",".join(sorted({each.promise for each in broken})) or "-",
         "requests": len(callers.records),
-        "served": served / max(len(callers.records), 1),
+        "statuses": ",".join(
+            f"{_NAMES.get(status, status)}:{count}"
+            for status, count in statuses.most_common()
+        ),
         "faults": len(steps),
     }
 
--- a/flamingolug_standins/relay_program.py
+++ b/flamingolug_standins/relay_program.py
@@ -124,7 +124,11 @@
             cut = self.fault.cut or (back and self.fault.cut_back)
             if number in self._silent or cut:
                 event.Event().wait()
-            target.sendall(data)
+            try:
+                target.sendall(data)
+            except OSError:
+                # The other direction's end is told by its reader.
+                return
 
     def _delay_s(self) -> float:
         fault = self.fault
