--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -246,6 +246,9 @@
         upstream = decode_entry(item.key, item.value)
         if upstream is None:
             return
+        if known is not None:
+            # It may have moved to another address.
+            self._forget(item.key)
         self._drop_predecessors(upstream, item.revision)
         self._known[item.key] = Known(upstream, item.revision)
         self._keys_at.setdefault(_address(upstream), set()).add(item.key)
--- a/flamingolug/gateway/tests/test_directory.py
+++ b/flamingolug/gateway/tests/test_directory.py
@@ -14,9 +14,10 @@
 from flamingolug.gateway import _model
 
 
-def _item(name: str, revision: int) -> store.Item:
+def _item(name: str, revision: int, host: str = "") -> store.Item:
+    host = host or f"h-{name}"
     upstream = _model.Upstream(
-        name, "s", "z0", f"h-{name}", 1, 10, _model.UpstreamState.READY, 1, 1
+        name, "s", "z0", host, 1, 10, _model.UpstreamState.READY, 1, 1
     )
     return store.Item(
         _directory.PREFIX + name, _directory.encode_entry(upstream), revision
@@ -127,6 +128,29 @@
         self.assertEqual(self._names(), {"a", "gone", "new"})
         self.assertEqual(self.directory.revision, 9)
 
+    def test_an_entry_that_has_moved_stays_when_its_old_address_is_reused(
+        self,
+    ) -> None:
+        for item in (
+            _item("a", 1, "first"),
+            _item("a", 2, "second"),
+            _item("b", 3, "first"),
+            _item("c", 4, "first"),
+            _item("d", 5, "second"),
+        ):
+            self.directory.apply(item)
+        self.assertEqual(self._names(), {"c", "d"})
+
+    def test_a_moved_entry_is_found_at_its_new_address(self) -> None:
+        for item in (
+            _item("a", 1, "first"),
+            _item("a", 2, "second"),
+            _item("b", 3, "first"),
+        ):
+            self.directory.apply(item)
+        self.assertEqual(self._names(), {"a", "b"})
+        self.assertEqual(self.directory.node_count(), 2)
+
     def test_only_later_entries_are_told(self) -> None:
         self.store.items = [_item("a", 5), _item("b", 9)]
         self.store.as_of = 9
