--- a/flamingolug_bench/soak/_run.py
+++ b/flamingolug_bench/soak/_run.py
@@ -22,6 +22,8 @@
 #: Seconds after a new version until each node in touch must follow it.
 _CONFIGURED_S = 2.0
 _SUPERVISE_S = 0.1
+#: Longest wait for all nodes to serve at first; only a fault needs it.
+_START_S = 60.0
 #: Ends of requests without a status.
 _NAMES = {
     _callers.CUT: "cut",
@@ -55,6 +57,18 @@
                 gevent.spawn(self._probe, instance),
             ]
 
+    def wait_serving(self) -> None:
+        """Waits until every node has served a request.
+
+        Raises:
+            AssertionError: a node does not serve in time.
+        """
+        until = time.monotonic() + _START_S
+        for instance in self._place.instances:
+            while self._ask(instance, "mark1") != 200:
+                assert time.monotonic() < until, f"{instance.name} never served"
+                gevent.sleep(0.1)
+
     def stop(self) -> None:
         """Ends supervision."""
         gevent.killall(self._tasks)
@@ -175,9 +189,9 @@
     broken: list[_promises.Broken] = []
     callers: _callers.Callers | None = None
     try:
-        began = time.monotonic()
         watch = _Watch(place, tally)
-        gevent.sleep(_faults.WARM_S / 2.0)
+        watch.wait_serving()
+        began = time.monotonic()
         callers = _callers.Callers(place, seed)
         _print_schedule(steps, quiet)
         _faults.carry_out(place, steps, began, tally)
