--- a/flamingolug/node/_upstream.py
+++ b/flamingolug/node/_upstream.py
@@ -1,5 +1,6 @@
 """The backend server beside this node: announcement, admission, exchange."""
 
+import collections
 import logging
 from typing import NamedTuple
 
@@ -87,6 +88,8 @@
         )
         self._needs = needs
         self._pool: web.Pool | None = None
+        #: Tries of keys without a record that wait for the right, by key.
+        self._checking: collections.Counter[str] = collections.Counter()
         self._expires_at = 0.0
         needs.loads.set_source(self.report)
         needs.config.subscribe(self._new_manifest)
@@ -190,23 +193,34 @@
         if not call.needs_owner():
             return self._serve_counted(call)
         if not self.outcomes.knows(call.key):
-            refused = self.owners.check(call)
+            self._checking[call.key] += 1
+            try:
+                refused = self._refuse_first(call)
+            finally:
+                self._checking[call.key] -= 1
+                if not self._checking[call.key]:
+                    del self._checking[call.key]
             if refused is not None:
-                return self._counted(refused)
-            if self.owners.is_doubtful(call):
-                return calls.unknown(
-                    "earlier-owner-gone", "ownership", self._needs.cfg.name, 0
-                )
-            if self.admission.refuse_if_full(call.level):
-                return self._counted(
-                    calls.not_run(
-                        telemetry.Refusal.SHED,
-                        "admission",
-                        self._needs.cfg.name,
-                    )
-                )
+                return refused
         return self.outcomes.run(call, self._serve_counted)
 
+    def _refuse_first(self, call: calls.Call) -> calls.Outcome | None:
+        """Returns why a key without a record is not begun, None if it is."""
+        own = self._needs.cfg.name
+        refused = self.owners.check(call)
+        if refused is not None:
+            return self._counted(refused)
+        if self.owners.is_doubtful(call):
+            return calls.unknown("earlier-owner-gone", "ownership", own, 0)
+        if not self.admission.refuse_if_full(call.level):
+            return None
+        if self._checking[call.key] > 1:
+            # Another try of the key waits for the right and may still run.
+            return calls.unknown("another-try", "admission", own, 0)
+        return self._counted(
+            calls.not_run(telemetry.Refusal.SHED, "admission", own)
+        )
+
     def _serve_counted(self, call: calls.Call) -> calls.Outcome:
         return self._counted(self._serve(call))
 
