--- a/flamingolug_bench/soak/variants.py
+++ b/flamingolug_bench/soak/variants.py
@@ -11,11 +11,14 @@
 from flamingolug import gateway
 from flamingolug import http1
 from flamingolug.gateway import _exchange
+from flamingolug.gateway import _frames
 from flamingolug.gateway import _gate
 from flamingolug.gateway import _holder
+from flamingolug.gateway import _link
 from flamingolug.gateway import _model
 from flamingolug.gateway import _pool
 from flamingolug.gateway import _request
+from flamingolug.gateway import _routes
 from flamingolug.platform import __main__ as program
 
 _ID = re.compile(rb"\r\nx-attempt-id: ([^\r]*)\r\n")
@@ -52,8 +55,26 @@
 
 
 def _accept_older() -> None:
-    """Takes any configuration into force that a peer has."""
-    setattr(_holder.Holder, "version", property(lambda self: 0))
+    """Takes any other configuration into force that a peer has."""
+    usual = _link.take_common
+
+    def take_common(
+        wire: _link.Wire, frame: _frames.Frame, needs: _link.Needs
+    ) -> None:
+        version = 0
+        if isinstance(frame, _frames.Ping | _frames.Status):
+            version = frame.version
+        if 0 < version < needs.version():
+            wire.send(_frames.ConfigurationRequest())
+        usual(wire, frame, needs)
+
+    def offer(self: _holder.Holder, document: bytes, source: str) -> None:
+        del source
+        cfg = self._needs.decode(document)
+        self.in_force = _holder.InForce(cfg, _routes.RouteTable(cfg))
+
+    setattr(_link, "take_common", take_common)
+    setattr(_holder.Holder, "offer", offer)
 
 
 def _pool_unread() -> None:
