--- a/flamingolug_bench/soak/_place.py
+++ b/flamingolug_bench/soak/_place.py
@@ -8,6 +8,7 @@
 import time
 
 from flamingolug import http1
+from flamingolug import platform
 from flamingolug_standins import documents
 from flamingolug_standins import leased_store
 from flamingolug_standins import relay_program
@@ -129,7 +130,7 @@
         with (self.place.directory / f"{self.name}.log").open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", *self.place.program],
-                env=os.environ | {"FLAMINGOLUG_BOOT": str(self._path)},
+                env=os.environ | {platform.SETTINGS_VARIABLE: str(self._path)},
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
--- a/flamingolug_bench/soak/_promises.py
+++ b/flamingolug_bench/soak/_promises.py
@@ -68,8 +68,8 @@
             )
         if record.status == 200 and record.request_id not in ran:
             broken.append(Broken("own-answer", record.request_id, "never ran"))
-        if record.status == _callers.SILENT and not _disrupted(
-            seen,
+        if record.status == _callers.SILENT and not was_disrupted(
+            seen.tally,
             record.instance,
             record.sent_at - TOUCH_S,
             record.ended_at,
@@ -110,7 +110,9 @@
     """Planned stops of nodes interrupt nothing and end in time."""
     broken: list[Broken] = []
     for stop in seen.tally.stops:
-        if _disrupted(seen, stop.instance, stop.began - TOUCH_S, stop.ended):
+        if was_disrupted(
+            seen.tally, stop.instance, stop.began - TOUCH_S, stop.ended
+        ):
             continue
         if stop.code != 0:
             broken.append(Broken("exit", stop.instance, f"code {stop.code}"))
@@ -149,11 +151,6 @@
     ]
 
 
-def _disrupted(seen: Seen, instance: str, since: float, until: float) -> bool:
-    """Returns whether unplanned disruption concerns an instance in a span."""
-    return was_disrupted(seen.tally, instance, since, until)
-
-
 def was_disrupted(
     tally: _faults.Tally, instance: str, since: float, until: float
 ) -> bool:
