Log the requests that a caller's connection ends without answering

Callers saw requests that were read end without an answer. The logs said neither why the connection ended nor what was pending on it, so the possible causes could not be told apart: a connection kept open to the end of the grace period, a listener kept open by a busy gate, a close with output undelivered, the end of the reading side, an exception while a response is written, and results that stay queued on a link.

Change, no other behaviour: - caller.cut for a connection that ends with unanswered requests, or for a response lost by an exception, with reason, error, ids and progress; counter flamingolug.entry.requests.cut by reason. - caller.undelivered for a close on this side with unread input, output that is not acknowledged, or a caller that has not closed; counter flamingolug.entry.connections.undelivered.

A request costs four more attribute assignments.

--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -13,6 +13,7 @@
 from flamingolug import telemetry
 from flamingolug import timing
 from flamingolug.gateway import _configuration_watcher
+from flamingolug.gateway import _metrics
 from flamingolug.gateway import _model
 from flamingolug.gateway import _request
 from flamingolug.gateway import _request_state
@@ -28,6 +29,9 @@
 #: Seconds for which a closing connection waits for the caller to close its
 #: side, so that a reset does not discard the last response.
 LINGER_S = 0.5
+#: Maximum numbers of request ids in a log line and of characters of an id.
+MAX_LOGGED_IDS = 32
+MAX_LOGGED_ID_LENGTH = 128
 #: Limits of connections accepted before the first configuration is active:
 #: 64 KiB of head, 64 MiB of body, 3 s for a partial request, 15 s idle.
 FIRST_LIMITS = _model.Limits(http1.MessageLimits(65536, 67108864), 3.0, 15.0)
@@ -41,6 +45,9 @@
     timers: timing.Timers
     #: Handles requests.
     handler: _request.Handler
+    metrics: _metrics.Metrics
+    #: Name of the header with the id of a request.
+    request_id_header: bytes
 
 
 class _PendingAnswer:
@@ -55,11 +62,26 @@
         self.close_after = False
 
 
+class Load(NamedTuple):
+    """Numbers of open connections and of unanswered requests."""
+
+    connections: int
+    #: Requests without a completely written response.
+    pending: int
+    #: Connections whose sending side is closed already.
+    lingering: int
+
+
 class CallerConnection:
     """One connection of a caller, with pipelined requests."""
 
-    def __init__(self, stream: http1.Stream, deps: Dependencies) -> None:
+    def __init__(
+        self, stream: http1.Stream, peer: str, deps: Dependencies
+    ) -> None:
         """Creates a connection that owns an accepted stream."""
+        self.peer = peer
+        #: Whether this side waits for the caller to close the connection.
+        self.lingering = False
         self.closing = False
         #: Clock reading at which data was last received or a response
         #: written; initially that of the connection's start.
@@ -68,7 +90,14 @@
         self._stream = stream
         self._pending: deque[_PendingAnswer] = deque()
         self._writing = False
+        #: Response that is being written.
+        self._unwritten: _PendingAnswer | None = None
+        #: Number of responses written.
+        self._answered = 0
+        #: Headers of the last request whose response was written.
+        self._answered_headers: http1.Headers = []
         self._closed = False
+        self._reported = False
         self._capacity_free = event.Event()
         active = deps.watcher.active
         self.limits = active.cfg.limits if active else FIRST_LIMITS
@@ -79,6 +108,11 @@
         """Whether a request is being served or a response written."""
         return bool(self._pending) or self._writing
 
+    @property
+    def pending(self) -> int:
+        """Number of requests without a completely written response."""
+        return len(self._pending) + (self._unwritten is not None)
+
     @property
     def partial(self) -> bool:
         """Whether a request has been received only in part."""
@@ -87,29 +121,145 @@
     def run(self) -> None:
         """Serves the connection until it ends."""
         try:
-            self._read()
-        finally:
-            self._abort()
+            reason, error = self._read()
+        except gevent.GreenletExit:
+            self._abort("killed", "")
+            raise
+        except BaseException as exc:
+            telemetry.event(
+                _LOGGER,
+                "caller.crashed",
+                level=logging.ERROR,
+                peer=self.peer,
+                error=repr(exc),
+            )
+            self._abort("crashed", repr(exc))
+            raise
+        self._abort(reason, error)
 
     def refuse_partial_request(self) -> None:
         """Answers 408 to a partial request that did not continue in time."""
         self._answer_plain(408)
 
-    def close(self) -> None:
+    def close(self, reason: str) -> None:
         """Closes the connection."""
         if not self._closed:
+            self.report_end(reason, "")
             self._closed = True
             self._stream.close()
 
-    def _read(self) -> None:
+    def report_end(self, reason: str, error: str) -> None:
+        """Logs what callers lose if the connection ends now, once."""
+        if self._closed or self._reported:
+            return
+        self._reported = True
+        unanswered = list(self._pending)
+        if self._unwritten is not None:
+            unanswered.insert(0, self._unwritten)
+        not_started = len(self._reader.ready)
+        if unanswered:
+            self._report_cut(reason, error, unanswered)
+        elif not_started:
+            self._report_cut("not-started", error, [])
+        if not_started:
+            self._deps.metrics.counters.add(
+                _metrics.CUT_REQUESTS, "not-started", count=not_started
+            )
+        if reason not in ("caller-closed", "read-failed", "write-failed"):
+            self._report_undelivered(reason)
+
+    def _report_cut(
+        self, reason: str, error: str, unanswered: list[_PendingAnswer]
+    ) -> None:
+        """Logs and counts requests that end without a complete answer."""
+        now = self._deps.timers.now()
+        states = [each.state for each in unanswered if each.state is not None]
+        stopping_since = self._deps.handler.stopping_since
+        since_stop = 0
+        if stopping_since is not None:
+            since_stop = sum(
+                state.started_at >= stopping_since for state in states
+            )
+        if unanswered:
+            self._deps.metrics.counters.add(
+                _metrics.CUT_REQUESTS, reason, count=len(unanswered)
+            )
+        telemetry.event(
+            _LOGGER,
+            "caller.cut",
+            reason=reason,
+            peer=self.peer,
+            error=error,
+            pending=len(unanswered),
+            passed_on=sum(state.offers > 0 for state in states),
+            ready=sum(each.render is not None for each in unanswered),
+            not_started=len(self._reader.ready),
+            partial=self.partial,
+            oldest_s=round(now - states[0].started_at, 4) if states else 0.0,
+            answered=self._answered,
+            writing=self._unwritten is not None,
+            closing=self.closing,
+            stopping_s=self._stopping_s(now),
+            since_stop=since_stop,
+            ids=self._ids_of(
+                [*(state.request for state in states), *self._reader.ready]
+            ),
+        )
+
+    def _report_undelivered(self, closed_by: str) -> None:
+        """Logs output that a close on this side may lose."""
+        queued = self._stream.queued()
+        reason = ""
+        if queued.unread_bytes:
+            # The close becomes a reset, which discards unsent output.
+            reason = "unread"
+        elif queued.unsent_bytes:
+            reason = "unsent"
+        elif self.lingering:
+            reason = "caller-open"
+        if not reason:
+            return
+        self._deps.metrics.counters.add(_metrics.UNDELIVERED, reason)
+        last_id = _find_header(
+            self._answered_headers, self._deps.request_id_header
+        )
+        telemetry.event(
+            _LOGGER,
+            "caller.undelivered",
+            reason=reason,
+            id=last_id.decode("latin-1")[:MAX_LOGGED_ID_LENGTH],
+            peer=self.peer,
+            by=closed_by,
+            unread=queued.unread_bytes,
+            unsent=queued.unsent_bytes,
+            lingering=self.lingering,
+            inactive_s=round(self._deps.timers.now() - self.active_at, 4),
+            answered=self._answered,
+            stopping_s=self._stopping_s(self._deps.timers.now()),
+        )
+
+    def _stopping_s(self, now: float) -> str:
+        """Returns for how many seconds the node has been stopping, or "-"."""
+        since = self._deps.handler.stopping_since
+        return "-" if since is None else f"{now - since:.3f}"
+
+    def _ids_of(self, requests: list[http1.Request]) -> str:
+        ids = [
+            request.header(self._deps.request_id_header).decode("latin-1")
+            for request in requests[:MAX_LOGGED_IDS]
+        ]
+        return ",".join(each[:MAX_LOGGED_ID_LENGTH] for each in ids)
+
+    def _read(self) -> tuple[str, str]:
+        """Reads until the connection ends; returns the reason and error."""
         reader = self._reader
         while not self._closed:
             try:
                 data = self._stream.recv(_READ_BYTES)
-            except OSError:
-                return
+            except OSError as exc:
+                return "read-failed", str(exc)
             if not data:
-                return
+                return "caller-closed", ""
             self.active_at = self._deps.timers.now()
             reader.feed(data)
             while reader.ready and not self.closing:
@@ -122,6 +272,7 @@
             while len(self._pending) >= MAX_PIPELINED and not self._closed:
                 self._capacity_free.clear()
                 self._capacity_free.wait()
+        return "closed-here", ""
 
     def _start_request(self, req: http1.Request) -> None:
         pending = _PendingAnswer()
@@ -138,14 +289,19 @@
     ) -> None:
         try:
             answer = self._deps.handler.handle(state)
-        except Exception as exc:
+        except gevent.GreenletExit:
+            raise
+        except BaseException as exc:
             telemetry.event(
                 _LOGGER,
                 "request.crashed",
                 level=logging.ERROR,
+                id=self._ids_of([state.request]),
                 target=state.request.target.decode("latin-1"),
                 error=repr(exc),
             )
+            if not isinstance(exc, Exception):
+                raise
             # The outcome is unknown, since an attempt may be in progress.
             answer = _request_state.Answer(502, [], b"internal error\n")
         is_head_request = state.request.method == b"HEAD"
@@ -193,18 +349,29 @@
                 if close:
                     self.closing = True
                 self.active_at = self._deps.timers.now()
+                self._unwritten = pending
                 self._send(pending.render(close))
+                self._unwritten = None
+                if not self._closed:
+                    self._answered += 1
+                if pending.state is not None:
+                    self._answered_headers = pending.state.request.headers
                 self._capacity_free.set()
                 if close:
                     self._linger()
+        except BaseException as exc:
+            if self._unwritten is not None and not self._reported:
+                self._report_cut("answer-crashed", repr(exc), [self._unwritten])
+            raise
         finally:
+            self._unwritten = None
             self._writing = False
 
     def _send(self, data: bytes) -> None:
         try:
             self._stream.send_all(data)
-        except OSError:
-            self._abort()
+        except OSError as exc:
+            self._abort("write-failed", str(exc))
 
     def _linger(self) -> None:
         """Half-closes the connection and closes it after `LINGER_S`."""
@@ -212,14 +379,16 @@
             return
         try:
             self._stream.shutdown_write()
-        except OSError:
-            self._abort()
+        except OSError as exc:
+            self._abort("write-failed", str(exc))
             return
-        gevent.spawn_later(LINGER_S, self._abort)
+        self.lingering = True
+        gevent.spawn_later(LINGER_S, self._abort, "linger-timeout", "")
 
-    def _abort(self) -> None:
+    def _abort(self, reason: str, error: str) -> None:
         """Closes the connection and cancels its pending requests."""
-        self.close()
+        self.report_end(reason, error)
+        self.close(reason)
         self._capacity_free.set()
         unanswered, self._pending = self._pending, deque()
         for pending in unanswered:
@@ -227,6 +396,13 @@
                 pending.state.cancel()
 
 
+def _find_header(headers: http1.Headers, name: bytes) -> bytes:
+    for field_name, value in headers:
+        if field_name == name:
+            return value
+    return b""
+
+
 class Entry:
     """Accepts connections of callers and closes idle ones."""
 
@@ -244,15 +420,29 @@
         """Whether any request is in progress."""
         return any(connection.busy for connection in self._connections)
 
+    def load(self) -> Load:
+        """Returns the numbers of connections and unanswered requests."""
+        return Load(
+            len(self._connections),
+            sum(connection.pending for connection in self._connections),
+            sum(connection.lingering for connection in self._connections),
+        )
+
+    def report_interrupted(self) -> None:
+        """Logs the requests and output that the end of the node cuts off."""
+        for connection in list(self._connections):
+            connection.report_end("interrupted", "")
+
     def serve(self, sock: gevent_socket.socket, peer: tuple[str, int]) -> None:
         """Serves one connection until it ends."""
-        del peer
         try:
             stream = http1.Stream(sock)
         except OSError:
             # The caller closed the connection before it was accepted.
             return
-        connection = CallerConnection(stream, self._deps)
+        connection = CallerConnection(
+            stream, f"{peer[0]}:{peer[1]}", self._deps
+        )
         self._connections.add(connection)
         try:
             connection.run()
@@ -263,7 +453,7 @@
         """Closes connections on which no request is in progress."""
         for connection in list(self._connections):
             if not connection.busy and not connection.partial:
-                connection.close()
+                connection.close("stopping")
 
     def _sweep(self) -> None:
         now = self._deps.timers.now()
@@ -281,4 +471,4 @@
                 not connection.partial
                 and inactive_s > connection.limits.idle_timeout_s
             ):
-                connection.close()
+                connection.close("idle")
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -146,6 +146,11 @@
         """Whether any call runs or waits."""
         return bool(self._tickets)
 
+    @property
+    def call_count(self) -> int:
+        """Number of calls that run or wait."""
+        return len(self._tickets)
+
     def handle_report(self, report: _model.Report) -> bool:
         """Handles a report of the backend server.
 
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -120,6 +120,8 @@
         self._stream = stream
         self._buffer: list[bytes] = []
         self._buffered = 0
+        #: Bytes taken from the buffer that the socket has not accepted.
+        self._sending = 0
         #: Whether a flush is scheduled or in progress.
         self._flushing = False
         self._loop = gevent.get_hub().loop
@@ -129,6 +131,15 @@
         """Whether this side has closed the connection."""
         return self._stream.closed
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that the socket has not accepted, 0 once closed."""
+        return 0 if self.closed else self._buffered + self._sending
+
+    def socket_queues(self) -> http1.Queued:
+        """Returns the bytes in the buffers of the socket."""
+        return self._stream.queued()
+
     def send(self, frame: _frames.Frame) -> bool:
         """Queues a frame; returns whether the connection accepted it."""
         if self.closed:
@@ -173,7 +184,15 @@
         )
 
     def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection; logs how many queued bytes are dropped."""
+        if self.queued_bytes:
+            telemetry.event(
+                _LOGGER,
+                "link.undelivered",
+                level=logging.WARNING,
+                peer=self.peer,
+                queued=self.queued_bytes,
+            )
         self._stream.close()
 
     def _drain_buffer(self) -> bytes:
@@ -203,6 +222,7 @@
             while data:
                 self._stream.send_all(data)
                 data = self._drain_buffer()
+                self._sending = len(data)
         except OSError as exc:
             self._fail(exc)
             return
@@ -249,6 +269,11 @@
         self._connected = event.Event()
         gevent.spawn(self._run)
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes of frames that have not been written yet."""
+        return self._connection.queued_bytes if self._connection else 0
+
     def wait_connected(self, timeout_s: float) -> bool:
         """Returns whether the link becomes usable within `timeout_s`."""
         if not self._connected.is_set():
@@ -506,6 +531,10 @@
             < IDLE_RECEIVE_TIMEOUT_S
         )
 
+    def queued_bytes(self) -> int:
+        """Returns the bytes of frames that have not been written yet."""
+        return sum(link.queued_bytes for link in self._links.values())
+
     def stop(self) -> None:
         """Ends all links."""
         for link in list(self._links.values()):
--- a/flamingolug/gateway/_metrics.py
+++ b/flamingolug/gateway/_metrics.py
@@ -12,6 +12,8 @@
 CONNECTIONS = "flamingolug.upstream.connections.opened"
 STORE_CALLS = "flamingolug.store.calls"
 LINKS_LOST = "flamingolug.links.lost"
+CUT_REQUESTS = "flamingolug.entry.requests.cut"
+UNDELIVERED = "flamingolug.entry.connections.undelivered"
 DURATION = "flamingolug.entry.duration"
 #: Upper bounds of the latency histogram in seconds; two buckets per doubling
 #: around the usual latency targets.
@@ -33,6 +35,10 @@
         counters.declare(CONNECTIONS, "Connections opened to the upstream")
         counters.declare(STORE_CALLS, "Calls to the store", "operation")
         counters.declare(LINKS_LOST, "Links to nodes that broke", "reason")
+        counters.declare(CUT_REQUESTS, "Requests without an answer", "reason")
+        counters.declare(
+            UNDELIVERED, "Connections closed with unconfirmed output", "reason"
+        )
         self._buckets = [0] * (len(BUCKETS_S) + 1)
         self._sum_s = 0.0
 
--- a/flamingolug/gateway/_peer_server.py
+++ b/flamingolug/gateway/_peer_server.py
@@ -78,6 +78,18 @@
             for ticket in list(tickets.values()):
                 self._deps.gate.cancel(ticket)
 
+    def queued_bytes(self) -> int:
+        """Returns the bytes of frames that have not been written yet."""
+        return sum(each.queued_bytes for each in self._connections)
+
+    def socket_queues(self) -> http1.Queued:
+        """Returns the sums of bytes in the buffers of all sockets."""
+        queues = [each.socket_queues() for each in self._connections]
+        return http1.Queued(
+            sum(each.unread_bytes for each in queues),
+            sum(each.unsent_bytes for each in queues),
+        )
+
     def schedule_status(self) -> None:
         """Schedules a status frame to every linked node."""
         if self._status_due:
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -233,6 +233,8 @@
             ),
             _timers(parts),
             parts.get("gateway.handler", _request.Handler),
+            _metrics_of(parts),
+            _environment_of(parts).caller_header_names.request_id,
         )
     )
 
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -20,6 +20,7 @@
 from flamingolug.gateway import _entry
 from flamingolug.gateway import _environment
 from flamingolug.gateway import _gate
+from flamingolug.gateway import _link
 from flamingolug.gateway import _peer_server
 from flamingolug.gateway import _plugins
 from flamingolug.gateway import _request
@@ -197,12 +198,17 @@
     started_at = timers.now()
     entry = parts.get("gateway.entry", _entry.Entry)
     gate = parts.get("gateway.gate", _gate.Gate)
-    telemetry.event(_LOGGER, "node.stopping", grace_s=grace_s)
-    parts.get("gateway.handler", _request.Handler).stopping = True
+    telemetry.event(
+        _LOGGER, "node.stopping", grace_s=grace_s, **_work_in_progress(parts)
+    )
+    handler = parts.get("gateway.handler", _request.Handler)
+    handler.stopping = True
+    handler.stopping_since = started_at
     gate.stop_accepting()
     announcer = parts.get("gateway.announcer", _announcer.Announcer)
     gevent.spawn(announcer.withdraw)
     deadline = started_at + grace_s - STOP_MARGIN_S
+    refused_after = "-"
     while timers.now() < deadline:
         gevent.sleep(_POLL_INTERVAL_S)
         if timers.now() - started_at < ACCEPT_AFTER_STOP_S or gate.busy:
@@ -210,14 +216,38 @@
             # this node.
             continue
         listeners.close("outbound")
+        if refused_after == "-":
+            refused_after = f"{timers.now() - started_at:.3f}"
         entry.close_idle()
         if not entry.busy:
             break
     interrupted = entry.busy or gate.busy
+    work = _work_in_progress(parts)
+    entry.report_interrupted()
     listeners.close_all()
     telemetry.event(
         _LOGGER,
         "node.stopped",
         interrupted=interrupted,
         took_s=round(timers.now() - started_at, 3),
+        refused_after_s=refused_after,
+        **work,
     )
+
+
+def _work_in_progress(parts: kernel.Kernel) -> dict[str, int]:
+    """Returns the work of a node that its end would interrupt, as fields."""
+    load = parts.get("gateway.entry", _entry.Entry).load()
+    links = parts.get("gateway.links", _link.Links)
+    peer_server = parts.get("gateway.peer-server", _peer_server.PeerServer)
+    peer_queues = peer_server.socket_queues()
+    return {
+        "connections": load.connections,
+        "pending": load.pending,
+        "lingering": load.lingering,
+        "gate_calls": parts.get("gateway.gate", _gate.Gate).call_count,
+        "links_queued": links.queued_bytes(),
+        "peers_queued": peer_server.queued_bytes(),
+        "peers_unread": peer_queues.unread_bytes,
+        "peers_unsent": peer_queues.unsent_bytes,
+    }
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -94,6 +94,8 @@
         """Creates a handler without budgets or admission controllers."""
         #: Whether the node is stopping.
         self.stopping = False
+        #: Clock reading at which the node began to stop.
+        self.stopping_since: float | None = None
         self._deps = deps
         self._now = deps.timers.now
         self._budgets: dict[str, _budget.RetryBudget] = {}
--- a/flamingolug/http1/__init__.py
+++ b/flamingolug/http1/__init__.py
@@ -16,6 +16,7 @@
 from flamingolug.http1._server import RequestHandler
 from flamingolug.http1._server import serve_connection
 from flamingolug.http1._stream import listen
+from flamingolug.http1._stream import Queued
 from flamingolug.http1._stream import Stream
 
 __all__ = [
@@ -23,6 +24,7 @@
     "Connection",
     "Headers",
     "MessageLimits",
+    "Queued",
     "Request",
     "RequestHandler",
     "RequestReader",
--- a/flamingolug/http1/_stream.py
+++ b/flamingolug/http1/_stream.py
@@ -8,9 +8,13 @@
 """
 
 import errno
+import fcntl
 import select
 import socket
+import struct
+import termios
 from typing import Any
+from typing import NamedTuple
 
 import gevent
 import greenlet
@@ -34,6 +38,15 @@
 _WRITE = 2
 
 
+class Queued(NamedTuple):
+    """Bytes in the buffers of a socket."""
+
+    #: Received bytes that have not been read.
+    unread_bytes: int
+    #: Sent bytes that the peer has not acknowledged.
+    unsent_bytes: int
+
+
 def listen(host: str, port: int) -> gevent_socket.socket:
     """Returns a listening socket."""
     sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -54,6 +67,13 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def _query_size(descriptor: int, request: int) -> int:
+    size: int = struct.unpack("i", fcntl.ioctl(descriptor, request, bytes(4)))[
+        0
+    ]
+    return size
+
+
 class Stream:
     """One TCP connection."""
 
@@ -145,6 +165,20 @@
         poller.register(self._raw.fileno(), select.POLLIN | select.POLLRDHUP)
         return bool(poller.poll(0))
 
+    def queued(self) -> Queued:
+        """Returns the bytes in the socket's buffers, 0 once it is closed."""
+        if self.closed:
+            return Queued(0, 0)
+        descriptor = self._raw.fileno()
+        try:
+            return Queued(
+                _query_size(descriptor, termios.FIONREAD),
+                _query_size(descriptor, termios.TIOCOUTQ),
+            )
+        except OSError:
+            # The kernel keeps no buffers for a socket that was reset.
+            return Queued(0, 0)
+
     def shutdown_write(self) -> None:
         """Shuts down the sending direction of the connection.
 
--- a/flamingolug/platform/tests/test_deployment.py
+++ b/flamingolug/platform/tests/test_deployment.py
@@ -483,3 +483,32 @@
         with self.assertRaises(errors.BackendError):
             front.connect()
         test_deployment.stop()
+
+    def test_interrupted_requests_are_logged_with_their_ids(self) -> None:
+        test_deployment = deployment.Deployment(
+            ("front", "shelf"), _ROUTES, grace_s=1.0
+        )
+        front, shelf = test_deployment.instances
+        shelf.server.service_s = 30.0
+        conn = front.connect()
+        conn.send(
+            deployment.make_request("read", "w1")
+            + deployment.make_request("read", "w2")
+        )
+        gevent.sleep(0.1)
+        # The test run disables logging.
+        self.addCleanup(logging.disable, logging.root.manager.disable)
+        logging.disable(logging.NOTSET)
+        with self.assertLogs("flamingolug.gateway") as logs:
+            front.node.stop()
+        conn.close()
+        log = "\n".join(record.getMessage() for record in logs.records)
+        for pattern in (
+            "event=node.stopping .*pending=2 .*gate_calls=0 ",
+            "event=caller.cut reason=interrupted .*pending=2 passed_on=2 "
+            ".*since_stop=0 ids=w1,w2",
+            "event=node.stopped interrupted=True .*refused_after_s=- "
+            ".*pending=2 ",
+        ):
+            self.assertRegex(log, pattern)
+        test_deployment.stop()
