--- a/flamingolug/cli/_log_commands.py
+++ b/flamingolug/cli/_log_commands.py
@@ -21,6 +21,7 @@
         "store.regained",
         "lease.lost",
         "link.lost",
+        "link.undelivered",
         "link.unreachable",
         "upstream.silent",
         "upstream.left",
@@ -34,6 +35,8 @@
 )
 #: Events that report a request that ended without the requested response.
 _FAILURE_EVENTS = ("request.refused", "request.failed", "request.unroutable")
+#: Event that reports the requests a connection ended without answering.
+_CUT_EVENT = "caller.cut"
 #: Length in seconds of the period before the first event of a request, from
 #: which node events are printed too.
 CONTEXT_S = 5.0
@@ -83,9 +86,7 @@
     Yields:
         An event and whether it has the id of the request.
     """
-    request_events = [
-        line for line in lines if line.fields.get("id") == request_id
-    ]
+    request_events = [line for line in lines if _concerns(line, request_id)]
     if not request_events:
         return
     nodes = {line.node for line in request_events}
@@ -94,7 +95,7 @@
         request_events[-1].unix_time,
     )
     for line in lines:
-        if line.fields.get("id") == request_id:
+        if _concerns(line, request_id):
             yield line, True
             continue
         is_related = line.node in nodes and line.event in _NODE_EVENTS
@@ -102,6 +103,14 @@
             yield line, False
 
 
+def _concerns(line: telemetry.LogLine, request_id: str) -> bool:
+    """Returns whether a log line has the id of a request."""
+    if line.fields.get("id") == request_id:
+        return True
+    ids = line.fields.get("ids", "")
+    return bool(ids) and request_id in ids.split(",")
+
+
 class ExplainCommand(cleo.commands.command.Command):
     """Prints the logged events of one request."""
 
@@ -162,6 +171,9 @@
         self.line("failed requests by reason")
         for (event, reason), count in failures.most_common():
             self.line(f"  {count:7} {event} {reason}")
+        self.line("requests without an answer by reason")
+        for reason, count in _count_cut_requests(lines).most_common():
+            self.line(f"  {count:7} {reason}")
         self.line("failed requests over time, in seconds from the first event")
         for at_s, count, bar in _plot(lines):
             self.line(f"  {at_s:7.1f} {count:6} {bar}")
@@ -188,9 +200,11 @@
         line.event == "log.left_out"
         and line.fields.get("of") in _FAILURE_EVENTS
     ):
-        count = line.fields.get("lines", "0")
-        failure_count = int(count) if count.isdigit() else 0
-        return line.fields["of"], line.fields.get("reason", ""), failure_count
+        return (
+            line.fields["of"],
+            line.fields.get("reason", ""),
+            _number(line, "lines"),
+        )
     return "", "", 0
 
 
@@ -206,6 +220,31 @@
     return counts
 
 
+def _count_cut_requests(
+    lines: list[telemetry.LogLine],
+) -> "collections.Counter[str]":
+    """Returns the number of requests without an answer by reason.
+
+    A suppressed line counts as one request, which is a lower bound.
+    """
+    counts: collections.Counter[str] = collections.Counter()
+    for line in lines:
+        reason = line.fields.get("reason", "")
+        if line.event == _CUT_EVENT:
+            counts[reason] += _number(line, "pending")
+            counts["not-started"] += _number(line, "not_started")
+        elif (
+            line.event == "log.left_out" and line.fields.get("of") == _CUT_EVENT
+        ):
+            counts[reason] += _number(line, "lines")
+    return +counts
+
+
+def _number(line: telemetry.LogLine, field: str) -> int:
+    text = line.fields.get(field, "0")
+    return int(text) if text.isdigit() else 0
+
+
 def _plot(lines: list[telemetry.LogLine]) -> Iterator[tuple[float, int, str]]:
     """Yields start, number of failed requests and bar of each row of the plot.
 
--- a/flamingolug/cli/tests/test_log_commands.py
+++ b/flamingolug/cli/tests/test_log_commands.py
@@ -18,6 +18,12 @@
 ts=103.030 level=INFO node=a event=request.refused id=r2 reason=shed status=503
 ts=104.000 level=INFO node=a event=log.left_out of=request.refused reason=shed \
 lines=7
+ts=104.500 level=INFO node=a event=caller.cut reason=interrupted pending=2 \
+not_started=1 ids=r5,r6,r7
+ts=104.600 level=INFO node=a event=log.left_out of=caller.cut \
+reason=interrupted lines=4
+ts=104.700 level=INFO node=a event=caller.cut reason=not-started pending=0 \
+not_started=1 ids=r8
 not a line of ours
 """
 _NESTED_LOG = """\
@@ -85,3 +91,21 @@
         self.assertRegex(output, r"9 request.refused shed")
         self.assertRegex(output, r"1 link.lost silent")
         self.assertRegex(output, r"2\.0 +2 #")
+
+    def test_explain_finds_an_id_among_the_requests_of_a_connection(
+        self,
+    ) -> None:
+        tester = command_tester.CommandTester(_log_commands.ExplainCommand())
+        code = tester.execute(f"r6 {self.paths[0]}")
+        self.assertEqual(code, _output.ExitCode.OK)
+        self.assertIn("a caller.cut reason=int", tester.io.fetch_output())
+
+    def test_incident_counts_requests_without_an_answer(self) -> None:
+        tester = command_tester.CommandTester(_log_commands.IncidentCommand())
+        tester.execute(" ".join(self.paths))
+        output = tester.io.fetch_output()
+        section = output.split("requests without an answer by reason\n")[1]
+        self.assertEqual(
+            [line.split() for line in section.splitlines()[:2]],
+            [["6", "interrupted"], ["2", "not-started"]],
+        )
