Test that a stop with a busy gate does not cut requests

Callers saw: while a call of another node ran at the backend server beside the stopping node, kept connections stayed open, and a request sent on one shortly before the exit was passed on and got no answer.

Cause: the stop neither closes idle connections nor refuses requests while the gate is busy, up to 0.4 s before the end of the grace period. Nothing compares the time left with what a request needs.

Ruled out: the shortened times of the test.

--- a/flamingolug/platform/tests/test_lost.py
+++ b/flamingolug/platform/tests/test_lost.py
@@ -344,3 +344,48 @@
         self.assertEqual(caller.error, "")
         self.assertLess(took_s, 2 * _GRACE_S / 3)
         self.assertEqual(front.process.returncode, 0)
+
+
+class BusyGateAtStopTest(_LostTest):
+    def _hold_gate(self, front: NodeProcess, service_s: float) -> Caller:
+        """Starts a call at the server beside `front`."""
+        front.server.service_s = service_s
+        holder = self.connect(self.shelf.settings.outbound)
+        holder.send("hold", "hold", b"POST")
+        deployment.wait_until(lambda: front.server.running > 0, "call runs")
+        return holder
+
+    # Guards against requests passed on too late for an answer, gate busy.
+    def test_requests_of_kept_connections_are_not_cut_when_the_node_exits(
+        self,
+    ) -> None:
+        front = self.start_process()
+        self.shelf.server.service_s = 0.3
+        # Longer than the node waits for it.
+        self._hold_gate(front, _GRACE_S - 0.1)
+        callers = [self.connect(front.outbound) for _ in range(26)]
+        gevent.sleep(0.1)
+        front.stop()
+        readers = [gevent.spawn(each.read_to_end) for each in callers]
+        for number, caller in enumerate(callers):
+            gevent.sleep(0.1)
+            if not caller.ended:
+                caller.send(f"b{number}")
+        front.wait()
+        gevent.joinall(readers, timeout=5.0)
+        executed = set(self.shelf.server.executed_ids)
+        cut = [
+            f"{each} sent {caller.sent_at[each] - front.stopped_at:.2f} s"
+            for caller in callers
+            for each in caller.cut_ids(self.shelf.server)
+        ]
+        self.assertEqual(cut, [])
+        refused_but_ran = [
+            each
+            for caller in callers
+            for each, answer in zip(
+                caller.sent_ids, caller.answers, strict=False
+            )
+            if answer.status == 503 and each in executed
+        ]
+        self.assertEqual(refused_but_ran, [])
