Test that the last answer is not reset while it is read

Callers saw: a reset connection in place of a complete answer that the node had written. The caller had not read it yet and sent a request, or the rest of one, behind it.

Cause: the node closes a connection 0.5 s after its last answer, or exits, also if the answer is still on its way. Data that arrives at a closed socket resets the connection, and the kernel discards the rest of the answer.

Ruled out: the slow reading alone.

Evidence: the three tests fail here, on the unchanged product, each with AssertionError: Lists differ: [] != [300000] ConnectionResetError(104, 'Connection reset by peer')

--- a/flamingolug/platform/tests/test_lost.py
+++ b/flamingolug/platform/tests/test_lost.py
@@ -9,12 +9,14 @@
 import time
 import unittest
 from collections.abc import Callable
+from unittest import mock
 
 import gevent
 from gevent import socket as gevent_socket
 
 from flamingolug import http1
 from flamingolug import platform
+from flamingolug.gateway import _program
 from flamingolug.platform.tests import deployment
 from flamingolug_standins import documents
 from flamingolug_standins import sealing_server
@@ -389,3 +391,66 @@
             if answer.status == 503 and each in executed
         ]
         self.assertEqual(refused_but_ran, [])
+
+
+class LastAnswerTest(_LostTest):
+    """Answers that are still on their way when a connection is closed."""
+
+    services = ("shelf", "front")
+
+    def _receive_slowly(self, caller: Caller, request_id: str) -> None:
+        """Sends a further request late, then reads the answer."""
+        gevent.sleep(1.0)
+        caller.send(request_id)
+        gevent.sleep(0.1)
+        caller.read_to_end(0.01, 16384)
+
+    # Guards against a close that resets an answer the caller still reads.
+    def test_request_behind_the_last_answer_does_not_reset_the_connection(
+        self,
+    ) -> None:
+        front = self.deployment.instances[1]
+        self.shelf.server.rewrite_response = _enlarge(_BUFFERED_BYTES)
+        self.shelf.server.service_s = 0.2
+        caller = self.connect(front.settings.outbound, _SMALL_BUFFER_BYTES)
+        caller.send("d0")
+        gevent.sleep(0.05)
+        with mock.patch.object(_program, "ACCEPT_AFTER_STOP_S", 1.5):
+            stopping = gevent.spawn(front.node.stop)
+            self._receive_slowly(caller, "d1")
+            stopping.join()
+        self.assert_received(caller, _BUFFERED_BYTES)
+        self.assertNotIn("d1", self.shelf.server.executed_ids)
+
+    # Guards against an exit that resets an answer the caller still reads.
+    def test_exit_of_the_node_does_not_reset_the_last_answer(self) -> None:
+        front = self.start_process()
+        self.shelf.server.rewrite_response = _enlarge(_BUFFERED_BYTES)
+        self.shelf.server.service_s = 0.5
+        caller = self.connect(front.outbound, _SMALL_BUFFER_BYTES)
+        caller.send("e0")
+        gevent.sleep(0.05)
+        front.stop()
+        self._receive_slowly(caller, "e1")
+        front.wait()
+        self.assert_received(caller, _BUFFERED_BYTES)
+
+    # Guards against a reset by the rest of a request read in part.
+    def test_part_of_a_request_behind_the_last_answer_does_not_reset_it(
+        self,
+    ) -> None:
+        front = self.start_process()
+        self.shelf.server.rewrite_response = _enlarge(_BUFFERED_BYTES)
+        self.shelf.server.service_s = 0.5
+        caller = self.connect(front.outbound, _SMALL_BUFFER_BYTES)
+        caller.send("f0")
+        gevent.sleep(0.05)
+        front.stop()
+        request = deployment.make_request("read", "f1")
+        caller.send_bytes(request[:20])
+        gevent.sleep(1.1)
+        caller.send_bytes(request[20:])
+        gevent.sleep(0.1)
+        caller.read_to_end(0.01, 16384)
+        front.wait()
+        self.assert_received(caller, _BUFFERED_BYTES)
