Test that a caller that pauses gets its whole answer

Callers saw: a reset connection in place of an answer when they read nothing for 5 s, at any time, without a stop.

Cause: TCP_USER_TIMEOUT (3 s) also ends a connection whose peer acknowledges the probes of a closed window.

Ruled out: the time-outs of the entry.

Evidence: both cases fail here, on the unchanged product, with AssertionError: Lists differ: [] != [300000] (and [8000000]) ConnectionResetError(104, 'Connection reset by peer')

--- a/flamingolug/platform/tests/test_lost.py
+++ b/flamingolug/platform/tests/test_lost.py
@@ -454,3 +454,28 @@
         caller.read_to_end(0.01, 16384)
         front.wait()
         self.assert_received(caller, _BUFFERED_BYTES)
+
+
+class PausingCallerTest(_LostTest):
+    # Guards against the loss of a connection whose caller does not read.
+    def test_caller_that_pauses_gets_its_whole_answer(self) -> None:
+        sizes = {
+            "in the send buffer": _BUFFERED_BYTES,
+            "beyond the send buffer": _UNBUFFERED_BYTES,
+        }
+        callers: dict[str, Caller] = {}
+        for name, size in sizes.items():
+            self.shelf.server.rewrite_response = _enlarge(size)
+            caller = self.connect(
+                self.shelf.settings.outbound, _SMALL_BUFFER_BYTES
+            )
+            caller.send(f"pause-{size}")
+            gevent.sleep(0.2)
+            callers[name] = caller
+        gevent.sleep(5.0)
+        for name, size in sizes.items():
+            with self.subTest(name):
+                caller = callers[name]
+                while not caller.ended and not caller.answers:
+                    caller.read(1 << 20)
+                self.assert_received(caller, size)
