Test that a failed answer is replaced in its place

Callers would see: the answer to a later pipelined request in the place of one whose answer can't be formatted, or no further answer on the connection if the handler raises an exception that is no Exception. Neither was seen outside this test.

Cause: the answer is formatted after it has left the queue of pending ones, and the greenlet that serves the request catches Exception only.

Evidence: two of the three cases fail here, on the unchanged product, with AssertionError: Lists differ: [200] != [200, 502, 200] AssertionError: Lists differ: [200, 200] != [200, 502, 200]

--- /dev/null
+++ b/flamingolug/gateway/tests/test_entry_delivery.py
@@ -0,0 +1,102 @@
+"""Delivery of answers on a caller's connection when an answer fails."""
+
+import types
+import unittest
+from collections.abc import Callable
+from typing import Any
+from typing import cast
+
+import gevent
+from gevent import socket as gevent_socket
+
+from flamingolug import http1
+from flamingolug import timing
+from flamingolug.gateway import _entry
+from flamingolug.gateway import _request_state
+
+_REQUEST = b"GET /%d HTTP/1.1\r\nhost: x\r\n\r\n"
+_TIMEOUT_S = 1.0
+
+
+def _raise_error() -> _request_state.Answer:
+    raise ValueError("handler failed")
+
+
+def _raise_timeout() -> _request_state.Answer:
+    # Derived from BaseException, as the time-outs of the gate are.
+    raise gevent.Timeout(1.0)
+
+
+def _return_unformattable() -> _request_state.Answer:
+    return _request_state.Answer(200, [(b"x-odd", cast(bytes, None))], b"1")
+
+
+class FailedAnswerTest(unittest.TestCase):
+    def _exchange(
+        self, answer_second: Callable[[], _request_state.Answer]
+    ) -> list[tuple[int, bytes]]:
+        """Sends three pipelined requests; returns statuses and bodies."""
+
+        def handle(
+            state: _request_state.RequestState,
+        ) -> _request_state.Answer:
+            if state.request.target == b"/1":
+                return answer_second()
+            return _request_state.Answer(200, [], state.request.target[1:])
+
+        entry = _entry.Entry(
+            _entry.Dependencies(
+                cast(Any, None),
+                cast(Any, types.SimpleNamespace(active=None)),
+                timing.GeventTimers(),
+                cast(Any, types.SimpleNamespace(stopping=False, handle=handle)),
+            )
+        )
+        listener = http1.listen("127.0.0.1", 0)
+        caller = gevent_socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+        serving = gevent.spawn(entry.serve, accepted, ("test", 0))
+        # The error that is expected is not printed.
+        hub = gevent.get_hub()
+        hub.exception_stream, stream = None, hub.exception_stream
+        try:
+            caller.sendall(b"".join(_REQUEST % number for number in range(3)))
+            return _read_answers(caller, 3)
+        finally:
+            hub.exception_stream = stream
+            caller.close()
+            listener.close()
+            serving.join(timeout=1.0)
+
+    # Guards against a missing answer whose place the later ones take.
+    def test_failed_answer_is_replaced_by_502_in_its_place(self) -> None:
+        cases = {
+            "the handler raises an error": _raise_error,
+            "the handler raises a time-out": _raise_timeout,
+            "the answer can't be formatted": _return_unformattable,
+        }
+        for name, answer_second in cases.items():
+            with self.subTest(name):
+                answers = self._exchange(answer_second)
+                self.assertEqual(
+                    [status for status, _ in answers], [200, 502, 200]
+                )
+                self.assertEqual(answers[0][1], b"0")
+                self.assertEqual(answers[2][1], b"2")
+
+
+def _read_answers(
+    caller: gevent_socket.socket, count: int
+) -> list[tuple[int, bytes]]:
+    """Reads until `count` answers are complete or none arrives in time."""
+    reader = http1.ResponseReader()
+    caller.settimeout(_TIMEOUT_S)
+    while len(reader.ready) < count:
+        try:
+            data = caller.recv(65536)
+        except TimeoutError:
+            break
+        if not data:
+            break
+        reader.feed(data)
+    return [(each.status, each.body) for each in reader.ready]
