Test that the last results of a link reach the peer

Callers would see the outcome of a lost link for a call that has run and was answered. The tests show the loss at the link; the answer to a caller was not tried.

Cause: a call is complete for the gate before its result is written. The exit waits neither for queued frames nor until the peer has received what is written; a probe that arrives after the exit resets the link.

Ruled out: the time that the peer takes.

--- a/flamingolug/platform/tests/test_lost.py
+++ b/flamingolug/platform/tests/test_lost.py
@@ -16,6 +16,10 @@
 
 from flamingolug import http1
 from flamingolug import platform
+from flamingolug.gateway import _dynamic_table
+from flamingolug.gateway import _frames
+from flamingolug.gateway import _link
+from flamingolug.gateway import _model
 from flamingolug.gateway import _program
 from flamingolug.platform.tests import deployment
 from flamingolug_standins import documents
@@ -479,3 +483,87 @@
                 while not caller.ended and not caller.answers:
                     caller.read(1 << 20)
                 self.assert_received(caller, size)
+
+
+class LastResultTest(_LostTest):
+    def _call_and_stop(self, size: int) -> "_PeerLink":
+        """Calls a node that stops; the result is not read yet."""
+        front = self.start_process()
+        front.server.rewrite_response = _enlarge(size)
+        front.server.service_s = 0.5
+        peer = _PeerLink(front.link)
+        self.addCleanup(peer.close)
+        peer.call(front.server.id)
+        deployment.wait_until(lambda: front.server.running > 0, "call runs")
+        front.stop()
+        gevent.sleep(1.5)
+        return peer
+
+    # Guards against an exit that discards the queued results of calls.
+    def test_result_queued_on_a_link_is_sent_before_the_node_exits(
+        self,
+    ) -> None:
+        peer = self._call_and_stop(_UNBUFFERED_BYTES)
+        self.assertEqual(peer.read_result_bytes(), _UNBUFFERED_BYTES)
+
+    # Guards against an exit that resets a result the peer still reads.
+    def test_probe_of_the_peer_does_not_reset_the_last_result(self) -> None:
+        peer = self._call_and_stop(_BUFFERED_BYTES)
+        peer.probe()
+        gevent.sleep(0.1)
+        self.assertEqual(peer.read_result_bytes(), _BUFFERED_BYTES)
+
+
+class _PeerLink:
+    """The calling side of a link that reads only on demand."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        sock = gevent_socket.socket()
+        sock.setsockopt(
+            gevent_socket.SOL_SOCKET,
+            gevent_socket.SO_RCVBUF,
+            _SMALL_BUFFER_BYTES,
+        )
+        sock.connect(address)
+        self._link = _link.FrameConnection(http1.Stream(sock), "test")
+        self._link.send(_frames.Hello("test", "z1", 0, 0))
+
+    def call(self, upstream_id: str) -> None:
+        """Calls the upstream beside the node."""
+        encoder = _dynamic_table.TableEncoder()
+        self._link.send(
+            _frames.CallFrame(
+                1,
+                "result",
+                encoder.encode(upstream_id.encode()),
+                encoder.encode(b"shelf"),
+                encoder.encode(b"POST"),
+                b"/hold/x",
+                [],
+                b"",
+                5000,
+                0,
+                1,
+                False,
+                encoder.encode(b"hold"),
+            )
+        )
+
+    def probe(self) -> None:
+        """Sends a probe."""
+        self._link.send(_frames.Ping(0, 0))
+
+    def close(self) -> None:
+        """Closes the link."""
+        self._link.close()
+
+    def read_result_bytes(self) -> int:
+        """Returns the size of the result's body, -1 without a result."""
+        for frames in self._link.read():
+            for frame in frames:
+                if not isinstance(frame, _frames.ResultFrame):
+                    continue
+                answered = _model.Verdict.ANSWERED.value
+                if frame.verdict == answered:
+                    return len(frame.body)
+        return -1
