Cover nested calls, slow callers and signals around a stop

Five tests of what could be lost around a stop and is not: calls of a running backend server, an answer larger than the buffers, an answer that closes its connection, a request that arrives in two parts, and further signals.

--- a/flamingolug/platform/tests/test_lost.py
+++ b/flamingolug/platform/tests/test_lost.py
@@ -396,6 +396,22 @@
         ]
         self.assertEqual(refused_but_ran, [])
 
+    # Guards against a running request whose calls the stop refuses.
+    def test_calls_of_the_running_backend_server_are_served(self) -> None:
+        front = self.start_process()
+        holder = self._hold_gate(front, 1.5)
+        front.stop()
+        statuses: list[int] = []
+        for number in range(4):
+            gevent.sleep(0.25)
+            statuses.append(
+                _ask_once(front.outbound, b"/read/x", f"nested{number}")
+            )
+        front.wait()
+        holder.read()
+        self.assertEqual(statuses, [200] * 4)
+        self.assertEqual([each.status for each in holder.answers], [200])
+
 
 class LastAnswerTest(_LostTest):
     """Answers that are still on their way when a connection is closed."""
@@ -459,6 +475,39 @@
         front.wait()
         self.assert_received(caller, _BUFFERED_BYTES)
 
+    # Guards against an exit that discards data not yet written.
+    def test_slow_caller_gets_the_whole_answer_before_the_node_exits(
+        self,
+    ) -> None:
+        front = self.start_process()
+        self.shelf.server.rewrite_response = _enlarge(_UNBUFFERED_BYTES)
+        self.shelf.server.service_s = 0.5
+        caller = self.connect(front.outbound, _MEDIUM_BUFFER_BYTES)
+        caller.send("g0")
+        gevent.sleep(0.05)
+        front.stop()
+        gevent.sleep(1.0)
+        caller.read_to_end(0.002)
+        front.wait()
+        self.assert_received(caller, _UNBUFFERED_BYTES)
+
+    # Guards against a close that discards the rest of a long answer.
+    def test_answer_that_closes_the_connection_may_be_read_slowly(
+        self,
+    ) -> None:
+        front = self.deployment.instances[1]
+        self.shelf.server.rewrite_response = _enlarge(_UNBUFFERED_BYTES // 4)
+        caller = self.connect(front.settings.outbound, _SMALL_BUFFER_BYTES)
+        request = deployment.make_request("read", "h0")
+        caller.send_bytes(
+            request.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")
+        )
+        gevent.sleep(1.0)
+        caller.read(16384)
+        gevent.sleep(1.0)
+        caller.read_to_end(0.0001, 65536)
+        self.assert_received(caller, _UNBUFFERED_BYTES // 4)
+
 
 class PausingCallerTest(_LostTest):
     # Guards against the loss of a connection whose caller does not read.
@@ -567,3 +616,56 @@
                 if frame.verdict == answered:
                     return len(frame.body)
         return -1
+
+
+class SplitRequestAtStopTest(_LostTest):
+    # Guards against a request passed on while the node exits.
+    def test_request_completed_after_the_accept_period_is_not_cut(
+        self,
+    ) -> None:
+        front = self.start_process()
+        self.shelf.server.service_s = 0.2
+        callers = [self.connect(front.outbound) for _ in range(30)]
+        last = self.connect(front.outbound)
+        gevent.sleep(0.05)
+        front.stop()
+        # Keeps the node busy for a moment beyond the accept period.
+        gevent.sleep(_ACCEPT_S - 0.1)
+        last.send("last")
+        requests: list[bytes] = []
+        for number, caller in enumerate(callers):
+            data = deployment.make_request("read", f"split{number}")
+            caller.sent_ids.append(f"split{number}")
+            caller.send_bytes(data[:-10])
+            requests.append(data)
+        readers = [gevent.spawn(each.read_to_end) for each in [*callers, last]]
+        for caller, data in zip(callers, requests, strict=True):
+            gevent.sleep(0.01)
+            caller.send_bytes(data[-10:])
+        front.wait()
+        gevent.joinall(readers, timeout=5.0)
+        cut = [
+            each
+            for caller in [*callers, last]
+            for each in caller.cut_ids(self.shelf.server)
+        ]
+        self.assertEqual(cut, [])
+
+
+class SignalsAtStopTest(_LostTest):
+    # Guards against a stop that a second SIGTERM or a SIGHUP cuts short.
+    def test_further_signals_do_not_interrupt_a_stop(self) -> None:
+        front = self.start_process()
+        self.shelf.server.service_s = 0.6
+        caller = self.connect(front.outbound)
+        caller.send("i0")
+        gevent.sleep(0.05)
+        front.process.send_signal(signal.SIGHUP)
+        front.stop()
+        while front.process.poll() is None:
+            front.process.send_signal(signal.SIGTERM)
+            front.process.send_signal(signal.SIGHUP)
+            gevent.sleep(0.001)
+        caller.read_to_end()
+        self.assertEqual([each.status for each in caller.answers], [200])
+        self.assertEqual(front.process.returncode, 0)
