Keep a connection open until its caller has read the last response

Callers saw a reset connection in place of a complete answer: during a stop, or 0.5 s after an answer with `Connection: close`, when they had not read all of it yet and had sent something behind it.

Cause: the node took a response for delivered once the socket had accepted its bytes. It closed a half-closed connection after 0.5 s, during a stop within 50 ms, and exited without regard to it. Data that arrives at a closed socket resets the connection, and the rest of the response is discarded.

Ruled out: slow reading alone (nothing sent behind the answer: it arrives).

Change: a half-closed connection ends when the caller closes it, or after the idle time-out. A stop waits until callers have received what was written, then up to 0.3 s for their close.

Evidence: the three tests of LastAnswerTest failed before with AssertionError: Lists differ: [] != [300000] ConnectionResetError(104, 'Connection reset by peer') and pass now (12 tests with those of the entry).

--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -26,9 +26,6 @@
 MAX_PIPELINED = 32
 #: Seconds between checks for idle and slow connections.
 SWEEP_INTERVAL_S = 0.5
-#: Seconds for which a closing connection waits for the caller to close its
-#: side, so that a reset does not discard the last response.
-LINGER_S = 0.5
 #: Maximum numbers of request ids in a log line and of characters of an id.
 MAX_LOGGED_IDS = 32
 MAX_LOGGED_ID_LENGTH = 128
@@ -80,8 +77,9 @@
     ) -> None:
         """Creates a connection that owns an accepted stream."""
         self.peer = peer
-        #: Whether this side waits for the caller to close the connection.
-        self.lingering = False
+        #: Clock reading since which this side waits for the caller to close the
+        #: connection, None before that.
+        self.lingering_since: float | None = None
         self.closing = False
         #: Clock reading at which data was last received or a response
         #: written; initially that of the connection's start.
@@ -108,6 +106,26 @@
         """Whether a request is being served or a response written."""
         return bool(self._pending) or self._writing
 
+    @property
+    def lingering(self) -> bool:
+        """Whether this side waits for the caller to close the connection.
+
+        The caller may still be reading the last response. A close on this side
+        could reset the connection, which discards what is unread.
+        """
+        return self.lingering_since is not None
+
+    @property
+    def has_work(self) -> bool:
+        """Whether a request or a response is in progress.
+
+        That includes a partial request, and a last response of which the
+        caller's host has not received everything.
+        """
+        if self.busy or self.partial:
+            return True
+        return self.lingering and self._stream.queued().unsent_bytes > 0
+
     @property
     def pending(self) -> int:
         """Number of requests without a completely written response."""
@@ -374,7 +392,10 @@
             self._abort("write-failed", str(exc))
 
     def _linger(self) -> None:
-        """Half-closes the connection and closes it after `LINGER_S`."""
+        """Half-closes the connection and waits for the caller to close it.
+
+        The entry closes it if the caller takes longer than the idle time-out.
+        """
         if self._closed:
             return
         try:
@@ -382,8 +403,7 @@
         except OSError as exc:
             self._abort("write-failed", str(exc))
             return
-        self.lingering = True
-        gevent.spawn_later(LINGER_S, self._abort, "linger-timeout", "")
+        self.lingering_since = self._deps.timers.now()
 
     def _abort(self, reason: str, error: str) -> None:
         """Closes the connection and cancels its pending requests."""
@@ -420,6 +440,16 @@
         """Whether any request is in progress."""
         return any(connection.busy for connection in self._connections)
 
+    @property
+    def has_work(self) -> bool:
+        """Whether any request or response is in progress."""
+        return any(connection.has_work for connection in self._connections)
+
+    @property
+    def has_connections(self) -> bool:
+        """Whether any connection of a caller is open."""
+        return bool(self._connections)
+
     def load(self) -> Load:
         """Returns the numbers of connections and unanswered requests."""
         return Load(
@@ -450,14 +480,21 @@
             self._connections.discard(connection)
 
     def close_idle(self) -> None:
-        """Closes connections on which no request is in progress."""
+        """Closes connections with no request or response in progress."""
         for connection in list(self._connections):
-            if not connection.busy and not connection.partial:
-                connection.close("stopping")
+            if connection.busy or connection.partial or connection.lingering:
+                continue
+            connection.close("stopping")
 
     def _sweep(self) -> None:
         now = self._deps.timers.now()
         for connection in list(self._connections):
+            lingering_since = connection.lingering_since
+            idle_timeout_s = connection.limits.idle_timeout_s
+            if lingering_since is not None:
+                if now - lingering_since > idle_timeout_s:
+                    connection.close("linger-timeout")
+                continue
             inactive_s = now - connection.active_at
             if connection.busy or connection.closing:
                 continue
@@ -467,8 +504,5 @@
             ):
                 connection.refuse_partial_request()
                 continue
-            if (
-                not connection.partial
-                and inactive_s > connection.limits.idle_timeout_s
-            ):
+            if not connection.partial and inactive_s > idle_timeout_s:
                 connection.close("idle")
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -36,6 +36,8 @@
 ACCEPT_AFTER_STOP_S = 2.6
 #: Seconds reserved before SIGKILL for closing the remaining connections.
 STOP_MARGIN_S = 0.4
+#: Seconds of that in which peers may close their connections.
+CLOSE_TIMEOUT_S = 0.3
 _POLL_INTERVAL_S = 0.05
 #: Allocated objects between two collections of the young generation; high,
 #: since reference counting frees most objects.
@@ -219,12 +221,13 @@
         if refused_after == "-":
             refused_after = f"{timers.now() - started_at:.3f}"
         entry.close_idle()
-        if not entry.busy:
+        if not entry.has_work:
             break
     interrupted = entry.busy or gate.busy
     work = _work_in_progress(parts)
-    entry.report_interrupted()
     listeners.close_all()
+    _close_connections(parts, timers)
+    entry.report_interrupted()
     telemetry.event(
         _LOGGER,
         "node.stopped",
@@ -235,6 +238,21 @@
     )
 
 
+def _close_connections(parts: kernel.Kernel, timers: timing.Timers) -> None:
+    """Waits at most `CLOSE_TIMEOUT_S` until peers have closed connections.
+
+    The exit would reset a connection with unread input, and its peer might
+    lose the last bytes.
+    """
+    entry = parts.get("gateway.entry", _entry.Entry)
+    deadline = timers.now() + CLOSE_TIMEOUT_S
+    while timers.now() < deadline:
+        entry.close_idle()
+        if not entry.has_connections:
+            return
+        gevent.sleep(_POLL_INTERVAL_S)
+
+
 def _work_in_progress(parts: kernel.Kernel) -> dict[str, int]:
     """Returns the work of a node that its end would interrupt, as fields."""
     load = parts.get("gateway.entry", _entry.Entry).load()
