Close pipelined connections of a stopping node after the accept period

A caller with another request always in flight on its connection got requests passed on until the stopping node exited, and no answers to the last ones.

Cause: on a stopping node, a response closes its connection only if no request is pending behind it. Such a connection is never told to close; the node reads and passes on requests to the end of the grace period and then cuts them.

Change: at the end of the accept period, the response to the last request received on a connection closes it. Requests behind it are not started, and callers send them again.

--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -95,6 +95,8 @@
         #: Headers of the last request whose response was written.
         self._answered_headers: http1.Headers = []
         self._closed = False
+        #: Whether `drain` was called.
+        self._draining = False
         self._reported = False
         self._capacity_free = event.Event()
         active = deps.watcher.active
@@ -159,6 +161,15 @@
         """Answers 408 to a partial request that did not continue in time."""
         self._answer_plain(408)
 
+    def drain(self) -> None:
+        """Makes the response to the last request received close the connection.
+
+        Without a pending request, that is the response to the next one.
+        Requests behind it are not started; their callers send them again.
+        """
+        self._draining = True
+        self._close_after_pending()
+
     def close(self, reason: str) -> None:
         """Closes the connection."""
         if not self._closed:
@@ -282,6 +293,8 @@
             reader.feed(data)
             while reader.ready and not self.closing:
                 self._start_request(reader.ready.popleft())
+            if self._draining:
+                self._close_after_pending()
             if reader.error_status and not self.closing:
                 self._answer_plain(reader.error_status)
             if reader.wants_continue and not self._pending:
@@ -292,6 +305,11 @@
                 self._capacity_free.wait()
         return "closed-here", ""
 
+    def _close_after_pending(self) -> None:
+        if self._pending and not self.closing:
+            self._pending[-1].close_after = True
+            self.closing = True
+
     def _start_request(self, req: http1.Request) -> None:
         pending = _PendingAnswer()
         pending.close_after = not req.keep_alive
@@ -430,6 +448,7 @@
         """Creates an entry without connections."""
         self._deps = deps
         self._connections: set[CallerConnection] = set()
+        self._draining = False
 
     def start(self) -> None:
         """Starts the periodic check for idle and slow connections."""
@@ -474,11 +493,23 @@
             stream, f"{peer[0]}:{peer[1]}", self._deps
         )
         self._connections.add(connection)
+        if self._draining:
+            connection.drain()
         try:
             connection.run()
         finally:
             self._connections.discard(connection)
 
+    def drain(self) -> None:
+        """Limits each connection to the requests that it has received.
+
+        A connection that has received none, or opens later, may carry one more
+        request, with those that arrive together with it.
+        """
+        self._draining = True
+        for connection in list(self._connections):
+            connection.drain()
+
     def close_idle(self) -> None:
         """Closes connections with no request or response in progress."""
         for connection in list(self._connections):
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -211,9 +211,11 @@
     gevent.spawn(announcer.withdraw)
     deadline = started_at + grace_s - STOP_MARGIN_S
     refused_after = "-"
+    gevent.sleep(min(ACCEPT_AFTER_STOP_S, deadline - started_at))
+    entry.drain()
     while timers.now() < deadline:
         gevent.sleep(_POLL_INTERVAL_S)
-        if timers.now() - started_at < ACCEPT_AFTER_STOP_S or gate.busy:
+        if gate.busy:
             # Running requests of the backend server make their calls through
             # this node.
             continue
--- a/flamingolug/platform/tests/test_lost.py
+++ b/flamingolug/platform/tests/test_lost.py
@@ -333,10 +333,9 @@
         front = self.start_process()
         self.shelf.server.service_s = 0.1
         caller = self.connect(front.outbound)
-        caller.send("a0")
-        gevent.sleep(0.05)
-        caller.send("a1")
-        gevent.sleep(0.05)
+        for request_id in ("a0", "a1", "a2", "a3"):
+            caller.send(request_id)
+            gevent.sleep(0.025)
         front.stop()
         told_to_close = False
         while not caller.ended:
