Refuse requests that may outlast a stopping node

While a call of another node ran at the backend server beside the stopping node, kept connections stayed open. A request sent on one shortly before the exit was passed on and got no answer.

Cause: a stop with a busy gate keeps accepting requests, since the backend server may make calls, and nothing compares the time left with the request's.

Ruled out: closing connections while the gate is busy; nested calls of the running backend server would fail.

Nested calls are accepted, since their caller was.

--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -213,6 +213,7 @@
     refused_after = "-"
     gevent.sleep(min(ACCEPT_AFTER_STOP_S, deadline - started_at))
     entry.drain()
+    handler.ends_at = deadline
     while timers.now() < deadline:
         gevent.sleep(_POLL_INTERVAL_S)
         if gate.busy:
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -96,6 +96,9 @@
         self.stopping = False
         #: Clock reading at which the node began to stop.
         self.stopping_since: float | None = None
+        #: Clock reading at which the node ends, once it refuses requests that
+        #: may not be answered by then.
+        self.ends_at: float | None = None
         self._deps = deps
         self._now = deps.timers.now
         self._budgets: dict[str, _budget.RetryBudget] = {}
@@ -173,8 +176,10 @@
         self, state: _request_state.RequestState, routed: _RoutedRequest
     ) -> _request_state.Answer:
         """Offers the request to upstreams until it is answered or stopped."""
-        admission_controller = self._admission_controller_of(routed)
         nested = routed.route.name in self._nested_routes
+        if not nested and self._may_outlast_node(routed):
+            return self._refuse(state, routed, "stopping")
+        admission_controller = self._admission_controller_of(routed)
         if not nested and admission_controller.refuse(
             routed.retried_by_caller, self._deps.rng
         ):
@@ -219,6 +224,10 @@
             return self._answer_unknown_outcome(state, routed, reason)
         return self._refuse(state, routed, reason)
 
+    def _may_outlast_node(self, routed: _RoutedRequest) -> bool:
+        """Returns whether the node may end before the request's deadline."""
+        return self.ends_at is not None and routed.deadline > self.ends_at
+
     def _offer(
         self,
         state: _request_state.RequestState,
