Let callers and backend servers pause reading

Callers saw a reset connection in place of an answer, at any time, when they read nothing for more than 3 s while part of the answer did not fit their receive buffer.

Cause: TCP_USER_TIMEOUT (3 s) also ends a connection whose peer acknowledges the probes of a closed window. It was set on all connections. The class: a peer that is slow is taken for one that is dead.

Change: the option is set only between nodes and towards the store. A caller that accepts no data is cut after the idle time-out, which states how long callers may take; the deadline of a call limits what a backend server may take. Keep-alive probes still detect dead peers.

Evidence: PausingCallerTest failed before, with AssertionError: Lists differ: [] != [300000] (and [8000000]) ConnectionResetError(104, 'Connection reset by peer') and passes.

--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -405,7 +405,9 @@
 
     def _send(self, data: bytes) -> None:
         try:
-            self._stream.send_all(data)
+            self._stream.send_all(
+                data, stall_timeout_s=self.limits.idle_timeout_s
+            )
         except OSError as exc:
             self._abort("write-failed", str(exc))
 
@@ -485,7 +487,7 @@
     def serve(self, sock: gevent_socket.socket, peer: tuple[str, int]) -> None:
         """Serves one connection until it ends."""
         try:
-            stream = http1.Stream(sock)
+            stream = http1.Stream(sock, peer_may_pause=True)
         except OSError:
             # The caller closed the connection before it was accepted.
             return
--- a/flamingolug/gateway/_pool.py
+++ b/flamingolug/gateway/_pool.py
@@ -68,6 +68,8 @@
             self._port,
             min(timeout_s, CONNECT_TIMEOUT_S),
             self._local_host,
+            # The deadline of each call limits how long it may take.
+            peer_may_pause=True,
         )
         self._on_open()
         return conn
--- a/flamingolug/gateway/tests/test_entry.py
+++ b/flamingolug/gateway/tests/test_entry.py
@@ -35,7 +35,8 @@
             raise data
         return data
 
-    def send_all(self, data: bytes) -> bool:
+    def send_all(self, data: bytes, stall_timeout_s: float) -> bool:
+        del stall_timeout_s
         if self.send_error is not None:
             raise self.send_error
         self.output.append(data)
--- a/flamingolug/http1/_client.py
+++ b/flamingolug/http1/_client.py
@@ -105,7 +105,11 @@
 
 
 def open_stream(
-    host: str, port: int, timeout_s: float, local_host: str = ""
+    host: str,
+    port: int,
+    timeout_s: float,
+    local_host: str = "",
+    peer_may_pause: bool = False,
 ) -> _stream.Stream:
     """Opens a TCP connection.
 
@@ -114,6 +118,7 @@
         port: TCP port of the server.
         timeout_s: time-out of opening the connection.
         local_host: local address of the connection, empty for any.
+        peer_may_pause: as for `Stream`.
 
     Raises:
         OSError: the connection could not be opened; nothing was sent.
@@ -124,14 +129,18 @@
             sock.bind((local_host, 0))
         with gevent_timeout.Timeout(timeout_s, TimeoutError("timed out")):
             sock.connect((host, port))
-        return _stream.Stream(sock)
+        return _stream.Stream(sock, peer_may_pause)
     except OSError:
         sock.close()
         raise
 
 
 def open_connection(
-    host: str, port: int, timeout_s: float, local_host: str = ""
+    host: str,
+    port: int,
+    timeout_s: float,
+    local_host: str = "",
+    peer_may_pause: bool = False,
 ) -> Connection:
     """Opens an HTTP connection; the arguments are those of `open_stream`.
 
@@ -140,7 +149,7 @@
     """
     peer = f"{host}:{port}"
     try:
-        stream = open_stream(host, port, timeout_s, local_host)
+        stream = open_stream(host, port, timeout_s, local_host, peer_may_pause)
     except OSError as exc:
         raise errors.BackendError(
             f"no connection: {exc}", step="connect", peer=peer, sent=False
--- a/flamingolug/http1/_stream.py
+++ b/flamingolug/http1/_stream.py
@@ -19,10 +19,11 @@
 import gevent
 import greenlet
 from gevent import socket as gevent_socket
+from gevent import timeout as gevent_timeout
 
-#: Milliseconds that sent data may stay unacknowledged before the connection is
-#: considered lost. Must be below the sum of the shortest usual deadline and the
-#: time of one retransmission.
+#: Milliseconds for which sent data may stay unacknowledged, or the window of
+#: the peer closed, before the connection is considered lost. Must be below the
+#: sum of the shortest usual deadline and the time of one retransmission.
 USER_TIMEOUT_MS = 3000
 #: Seconds of idleness before the first keep-alive probe.
 KEEPALIVE_IDLE_S = 1
@@ -56,7 +57,7 @@
     return sock
 
 
-def _set_options(sock: socket.socket) -> None:
+def _set_options(sock: socket.socket, peer_may_pause: bool) -> None:
     """Sets TCP_NODELAY and the time-outs that detect dead connections."""
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
@@ -64,7 +65,8 @@
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    if not peer_may_pause:
+        sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
 def _query_size(descriptor: int, request: int) -> int:
@@ -77,9 +79,17 @@
 class Stream:
     """One TCP connection."""
 
-    def __init__(self, sock: gevent_socket.socket) -> None:
+    def __init__(
+        self, sock: gevent_socket.socket, peer_may_pause: bool = False
+    ) -> None:
         """Detaches a connected socket and wraps its descriptor.
 
+        Args:
+            sock: a connected socket.
+            peer_may_pause: whether the peer may stop reading for longer than
+                `USER_TIMEOUT_MS`. Keep-alive probes still detect a dead peer
+                while no sent data is unacknowledged.
+
         Raises:
             OSError: the connection is already closed.
         """
@@ -87,7 +97,7 @@
         raw = socket.socket(family, socket.SOCK_STREAM, 0, sock.detach())
         raw.setblocking(False)
         try:
-            _set_options(raw)
+            _set_options(raw, peer_may_pause)
         except OSError:
             raw.close()
             raise
@@ -136,19 +146,30 @@
         except BlockingIOError:
             return 0
 
-    def send_all(self, data: bytes, stop_if_readable: bool = False) -> bool:
+    def send_all(
+        self,
+        data: bytes,
+        stop_if_readable: bool = False,
+        stall_timeout_s: float | None = None,
+    ) -> bool:
         """Sends all data; returns whether it was sent completely.
 
         Args:
             data: bytes to send.
             stop_if_readable: whether to stop once `has_input` returns True.
+            stall_timeout_s: seconds for which the connection may accept no
+                data, None for no limit.
 
         Raises:
-            OSError: the connection was lost, or closed on this side.
+            OSError: the connection was lost, closed on this side, or accepted
+                no data for `stall_timeout_s`.
         """
         sent = self.send_now(data)
         while sent < len(data):
-            self._wait_writable(stop_if_readable)
+            with gevent_timeout.Timeout(
+                stall_timeout_s, OSError(errno.ETIMEDOUT, "peer does not read")
+            ):
+                self._wait_writable(stop_if_readable)
             if stop_if_readable and self.has_input():
                 return False
             sent += self.send_now(data[sent:])
