Answer a request in its place when its handling fails

Callers would see the answer to a later pipelined request in the place of one whose answer can't be formatted, or no further answer on the connection if the handler raises an exception that is no Exception.

Cause: the answer is formatted after it has left the queue of pending ones, and the greenlet that serves the request answers 502 for an Exception only.

Change: what cannot be formatted, or raises anything but the end of its greenlet, is answered with 502 in its place. If writing fails by a defect, the connection ends, so that no later response takes the place of the missing one.

--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -32,6 +32,9 @@
 #: Limits of connections accepted before the first configuration is active:
 #: 64 KiB of head, 64 MiB of body, 3 s for a partial request, 15 s idle.
 FIRST_LIMITS = _model.Limits(http1.MessageLimits(65536, 67108864), 3.0, 15.0)
+#: Answer to a request whose handling failed by a defect of the node. The
+#: outcome is unknown, since an attempt may be in progress.
+_CRASHED_ANSWER = _request_state.Answer(502, [], b"internal error\n")
 
 
 class Dependencies(NamedTuple):
@@ -328,31 +331,35 @@
         except gevent.GreenletExit:
             raise
         except BaseException as exc:
-            telemetry.event(
-                _LOGGER,
-                "request.crashed",
-                level=logging.ERROR,
-                id=self._ids_of([state.request]),
-                target=state.request.target.decode("latin-1"),
-                error=repr(exc),
-            )
-            if not isinstance(exc, Exception):
-                raise
-            # The outcome is unknown, since an attempt may be in progress.
-            answer = _request_state.Answer(502, [], b"internal error\n")
-        is_head_request = state.request.method == b"HEAD"
+            self._log_crash(state.request, exc)
+            answer = _CRASHED_ANSWER
+        pending.render = lambda close: self._format(
+            state.request, answer, close
+        )
+        self._flush()
 
-        def render(close: bool) -> bytes:
+    def _format(
+        self, req: http1.Request, answer: _request_state.Answer, close: bool
+    ) -> bytes:
+        """Returns the bytes of an answer, of a 502 if it has no valid form."""
+        is_head_request = req.method == b"HEAD"
+        try:
+            return http1.format_response(*answer, close, is_head_request)
+        except Exception as exc:
+            self._log_crash(req, exc)
             return http1.format_response(
-                answer.status,
-                answer.headers,
-                answer.body,
-                close,
-                is_head_request,
+                *_CRASHED_ANSWER, close, is_head_request
             )
 
-        pending.render = render
-        self._flush()
+    def _log_crash(self, req: http1.Request, exc: BaseException) -> None:
+        telemetry.event(
+            _LOGGER,
+            "request.crashed",
+            level=logging.ERROR,
+            id=self._ids_of([req]),
+            target=req.target.decode("latin-1"),
+            error=repr(exc),
+        )
 
     def _answer_plain(self, status: int) -> None:
         """Answers a request without a handler, then closes the connection.
@@ -396,8 +403,8 @@
                 if close:
                     self._linger()
         except BaseException as exc:
-            if self._unwritten is not None and not self._reported:
-                self._report_cut("answer-crashed", repr(exc), [self._unwritten])
+            # A later response must not be taken for the one that is missing.
+            self._abort("answer-crashed", repr(exc))
             raise
         finally:
             self._unwritten = None
