Answer requests that the end of the grace period interrupts

A request still at work when the grace period of a stopping node ended got a closed connection instead of an answer.

Cause: the process exited with its requests pending.

Change: the node interrupts them first and answers each with its final status: 502 where the request may have run, 503 where it was not passed on.

--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -164,6 +164,12 @@
         """Answers 408 to a partial request that did not continue in time."""
         self._answer_plain(408)
 
+    def interrupt(self) -> None:
+        """Interrupts pending requests, which are then answered at once."""
+        for pending in list(self._pending):
+            if pending.state is not None:
+                pending.state.interrupt()
+
     def drain(self) -> None:
         """Makes the response to the last request received close the connection.
 
@@ -519,6 +525,11 @@
         for connection in list(self._connections):
             connection.drain()
 
+    def interrupt(self) -> None:
+        """Ends the requests in progress; each gets a final answer at once."""
+        for connection in list(self._connections):
+            connection.interrupt()
+
     def close_idle(self) -> None:
         """Closes connections with no request or response in progress."""
         for connection in list(self._connections):
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -34,7 +34,8 @@
 #: checked every second, and callers switch to another node after two failed
 #: checks.
 ACCEPT_AFTER_STOP_S = 2.6
-#: Seconds reserved before SIGKILL for closing the remaining connections.
+#: Seconds reserved before SIGKILL for the final answers to interrupted requests
+#: and for closing the remaining connections.
 STOP_MARGIN_S = 0.4
 #: Seconds of that in which peers may close their connections.
 CLOSE_TIMEOUT_S = 0.3
@@ -228,6 +229,7 @@
             break
     interrupted = entry.busy or gate.busy
     work = _work_in_progress(parts)
+    entry.interrupt()
     listeners.close_all()
     _close_connections(parts, timers)
     entry.report_interrupted()
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -202,7 +202,7 @@
             tried.add(upstream.id)
             state.last_upstream_id = upstream.id
             outcome = self._offer(state, routed, upstream)
-            reason = outcome.reason
+            reason = "interrupted" if state.interrupted else outcome.reason
             if outcome.verdict is _model.Verdict.ANSWERED:
                 assert outcome.response is not None
                 response = outcome.response
--- a/flamingolug/gateway/_request_state.py
+++ b/flamingolug/gateway/_request_state.py
@@ -32,6 +32,8 @@
         #: Clock reading at which the request's last data was received.
         self.started_at = started_at
         self.cancelled = False
+        #: Whether it was cancelled because the node ends.
+        self.interrupted = False
         #: Number of upstreams to which the request was offered.
         self.offers = 0
         #: Number of attempts that reached an upstream or may have reached it.
@@ -51,6 +53,11 @@
             self.cancelled = True
             self.cancel_offer()
 
+    def interrupt(self) -> None:
+        """Cancels the request because the node ends; it is still answered."""
+        self.interrupted = True
+        self.cancel()
+
 
 def _do_nothing() -> None:
     pass
--- a/flamingolug/platform/tests/test_lost.py
+++ b/flamingolug/platform/tests/test_lost.py
@@ -412,6 +412,25 @@
         self.assertEqual([each.status for each in holder.answers], [200])
 
 
+class InterruptedRequestTest(_LostTest):
+    # Guards against a request that ends without an answer at the exit.
+    def test_request_at_work_at_the_end_of_the_grace_period_gets_an_answer(
+        self,
+    ) -> None:
+        front = self.start_process()
+        front.server.service_s = 2 * _GRACE_S
+        caller = self.connect(front.outbound)
+        caller.send("long", "home")
+        deployment.wait_until(lambda: front.server.running > 0, "request runs")
+        front.stop()
+        caller.read_to_end()
+        took_s = front.wait()
+        self.assertEqual([each.status for each in caller.answers], [502])
+        self.assertEqual(caller.error, "")
+        self.assertLess(took_s, _GRACE_S)
+        self.assertEqual(front.process.returncode, 0)
+
+
 class LastAnswerTest(_LostTest):
     """Answers that are still on their way when a connection is closed."""
 
