Deliver the last results of a link before the node exits

Callers would see the outcome of a lost link (502) for a call that has run and was answered.

Cause: a call is complete for the gate before its result is written. The exit waited neither for queued frames nor until the peer had received what was written; a probe that arrives after the exit resets the link.

--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -124,6 +124,8 @@
         self._sending = 0
         #: Whether a flush is scheduled or in progress.
         self._flushing = False
+        #: Whether `finish` was called.
+        self._finished = False
         self._loop = gevent.get_hub().loop
 
     @property
@@ -142,7 +144,7 @@
 
     def send(self, frame: _frames.Frame) -> bool:
         """Queues a frame; returns whether the connection accepted it."""
-        if self.closed:
+        if self.closed or self._finished:
             return False
         data = _frames.encode(frame)
         if self._buffered + len(data) > MAX_BUFFERED_BYTES and self._buffered:
@@ -183,6 +185,16 @@
             error=exc,
         )
 
+    def finish(self) -> None:
+        """Closes the sending direction; the peer then closes the connection."""
+        if self.closed or self._finished:
+            return
+        self._finished = True
+        try:
+            self._stream.shutdown_write()
+        except OSError as exc:
+            self._fail(exc)
+
     def close(self) -> None:
         """Closes the connection; logs how many queued bytes are dropped."""
         if self.queued_bytes:
--- a/flamingolug/gateway/_peer_server.py
+++ b/flamingolug/gateway/_peer_server.py
@@ -78,6 +78,22 @@
             for ticket in list(tickets.values()):
                 self._deps.gate.cancel(ticket)
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether any link from another node is open."""
+        return bool(self._connections)
+
+    @property
+    def has_output(self) -> bool:
+        """Whether a peer has not received everything that was sent."""
+        return self.queued_bytes() + self.socket_queues().unsent_bytes > 0
+
+    def finish(self) -> None:
+        """Half-closes the links whose frames are written; peers close them."""
+        for connection in self._connections:
+            if not connection.queued_bytes:
+                connection.finish()
+
     def queued_bytes(self) -> int:
         """Returns the bytes of frames that have not been written yet."""
         return sum(each.queued_bytes for each in self._connections)
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -201,6 +201,7 @@
     started_at = timers.now()
     entry = parts.get("gateway.entry", _entry.Entry)
     gate = parts.get("gateway.gate", _gate.Gate)
+    peer_server = parts.get("gateway.peer-server", _peer_server.PeerServer)
     telemetry.event(
         _LOGGER, "node.stopping", grace_s=grace_s, **_work_in_progress(parts)
     )
@@ -225,7 +226,7 @@
         if refused_after == "-":
             refused_after = f"{timers.now() - started_at:.3f}"
         entry.close_idle()
-        if not entry.has_work:
+        if not (entry.has_work or peer_server.has_output):
             break
     interrupted = entry.busy or gate.busy
     work = _work_in_progress(parts)
@@ -250,10 +251,12 @@
     lose the last bytes.
     """
     entry = parts.get("gateway.entry", _entry.Entry)
+    peer_server = parts.get("gateway.peer-server", _peer_server.PeerServer)
     deadline = timers.now() + CLOSE_TIMEOUT_S
     while timers.now() < deadline:
         entry.close_idle()
-        if not entry.has_connections:
+        peer_server.finish()
+        if not (entry.has_connections or peer_server.has_connections):
             return
         gevent.sleep(_POLL_INTERVAL_S)
 
