Exit with status 0 when SIGTERM arrives during the start of a node

The platform saw a node that a planned stop reached during its start end by the signal, like a crash.

Cause: the handler of SIGTERM is installed after the imports.

Change: until the node has its own handlers, the launcher exits on SIGTERM. The node does not listen yet, so nothing is lost. Before the first line of the launcher (about 30 ms) the signal still ends the interpreter.

--- a/flamingolug/launcher.py
+++ b/flamingolug/launcher.py
@@ -8,11 +8,15 @@
 SIGHUP signals that the settings have changed. By default it ends the process.
 The launcher therefore ignores the signal while the modules of the node are
 imported. No change is missed, because the node reads the settings after that.
+
+A node that SIGTERM stops before it listens has nothing to finish and exits with
+status 0.
 """
 
 import importlib
 import signal
 import sys
+import types
 
 #: Module whose `main` runs the node.
 _PROGRAM = "flamingolug.platform.__main__"
@@ -21,10 +25,18 @@
 def main() -> int:
     """Runs the node and returns its exit code."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # Imported here, so that the signal is already ignored during the import.
+    signal.signal(signal.SIGTERM, _exit)
+    # Imported here, so that the signals are already handled during the import.
     code: int = importlib.import_module(_PROGRAM).main()
     return code
 
 
+def _exit(number: int, frame: types.FrameType | None) -> None:
+    del frame
+    # A further signal must not interrupt the exit.
+    signal.signal(number, signal.SIG_IGN)
+    sys.exit(0)
+
+
 if __name__ == "__main__":
     sys.exit(main())
