Ignore further signals while a stopped node exits

The platform would see a node end by a signal that arrives once more at the end of its stop.

Cause: the handlers end with the event loop, and the default action of SIGTERM or SIGHUP ends the interpreter before it has returned status 0.

Change: the signals are blocked when the node has stopped.

--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -40,6 +40,8 @@
 #: Seconds of that in which peers may close their connections.
 CLOSE_TIMEOUT_S = 0.3
 _POLL_INTERVAL_S = 0.05
+#: Signals that a node handles.
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 #: Allocated objects between two collections of the young generation; high,
 #: since reference counting frees most objects.
 GC_YOUNG_OBJECTS = 20_000
@@ -136,6 +138,8 @@
     )
     stop.wait()
     node.stop()
+    # The default action of a further signal would end the interpreter's exit.
+    signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
     return EXIT_OK
 
 
