Do not close a connection whose next request has arrived

A caller's request was reset although it had arrived, when the node closed the connection as idle, or exited, before reading it.

Cause: a connection counted as idle if nothing that had been read was in progress; bytes in the socket, and a connection accepted last, did not count.

Change: unread input is a request in progress, for the idle time-out and for a stop. After closing its listener, a stop looks at all connections once more.

IdleTest checks the decision with controlled buffers.

--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -124,12 +124,12 @@
     def has_work(self) -> bool:
         """Whether a request or a response is in progress.
 
-        That includes a partial request, and a last response of which the
-        caller's host has not received everything.
+        That includes a request of which not all has been read, and a last
+        response of which the caller's host has not received everything.
         """
-        if self.busy or self.partial:
-            return True
-        return self.lingering and self._stream.queued().unsent_bytes > 0
+        if self.lingering:
+            return self._stream.queued().unsent_bytes > 0
+        return not self.is_idle()
 
     @property
     def pending(self) -> int:
@@ -160,6 +160,15 @@
             raise
         self._abort(reason, error)
 
+    def is_idle(self) -> bool:
+        """Returns whether no request or response is in progress.
+
+        Unread input is a request in progress; a close would reset it.
+        """
+        if self.busy or self.partial or self.lingering:
+            return False
+        return not self._stream.has_input()
+
     def refuse_partial_request(self) -> None:
         """Answers 408 to a partial request that did not continue in time."""
         self._answer_plain(408)
@@ -533,9 +542,8 @@
     def close_idle(self) -> None:
         """Closes connections with no request or response in progress."""
         for connection in list(self._connections):
-            if connection.busy or connection.partial or connection.lingering:
-                continue
-            connection.close("stopping")
+            if connection.is_idle():
+                connection.close("stopping")
 
     def _sweep(self) -> None:
         now = self._deps.timers.now()
@@ -555,5 +563,5 @@
             ):
                 connection.refuse_partial_request()
                 continue
-            if not connection.partial and inactive_s > idle_timeout_s:
+            if inactive_s > idle_timeout_s and connection.is_idle():
                 connection.close("idle")
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -226,9 +226,11 @@
             # Running requests of the backend server make their calls through
             # this node.
             continue
-        listeners.close("outbound")
         if refused_after == "-":
+            listeners.close("outbound")
             refused_after = f"{timers.now() - started_at:.3f}"
+            # The entry may not know the connection accepted last yet.
+            continue
         entry.close_idle()
         if not (entry.has_work or peer_server.has_output):
             break
--- a/flamingolug/gateway/tests/test_entry.py
+++ b/flamingolug/gateway/tests/test_entry.py
@@ -28,6 +28,9 @@
         self.send_error: Exception | None = None
         self.queues = http1.Queued(0, 0)
 
+    def has_input(self) -> bool:
+        return self.queues.unread_bytes > 0
+
     def recv(self, size: int) -> bytes:
         del size
         data = self.input.get()
@@ -347,3 +350,37 @@
                 self.assertEqual(
                     self.caller.count(_metrics.UNDELIVERED), {reason: 1}
                 )
+
+
+class IdleTest(unittest.TestCase):
+    """Connections that a stop or the idle time-out may close."""
+
+    # Guards against a reset of a request that has arrived but was not read.
+    def test_connection_with_unread_input_is_not_idle(self) -> None:
+        cases = {
+            "idle": (http1.Queued(0, 0), True),
+            "unread input": (http1.Queued(70, 0), False),
+            "unsent output": (http1.Queued(0, 5), True),
+        }
+        for name, (queues, idle) in cases.items():
+            with self.subTest(name):
+                caller = _Caller()
+                caller.send("r1")
+                self.assertFalse(caller.connection.is_idle())
+                caller.answer(b"r1")
+                caller.stream.queues = queues
+                self.assertEqual(caller.connection.is_idle(), idle)
+                self.assertEqual(caller.connection.has_work, not idle)
+
+    # Guards against an exit that resets a last response still on its way.
+    def test_last_response_is_work_until_it_is_acknowledged(self) -> None:
+        caller = _Caller()
+        caller.begin_stop()
+        caller.send("r1")
+        caller.answer(b"r1")
+        caller.stream.queues = http1.Queued(0, 5)
+        self.assertTrue(caller.connection.has_work)
+        self.assertFalse(caller.connection.is_idle())
+        caller.stream.queues = http1.Queued(0, 0)
+        self.assertFalse(caller.connection.has_work)
+        self.assertFalse(caller.connection.is_idle())
