Limit everything of an answer that is not its body

A backend server could send a status line, a field, interim answers, empty lines, a chunk extension or trailers without end. Only the total of each response was limited, at 64 MiB, and counted anew for each response that `receive` returned. A call that met such bytes held its slot and memory until its deadline.

Cause: the reader counted no bytes outside bodies; httptools limits neither the head nor a single field, and copies a field that continues with each piece, so a field of 64 MiB costs time in the square of its size.

Ruled out: bytes that are no HTTP at all, which the parser rejects at once.

The reader now counts the bytes outside bodies from the raw data, over all responses to one request, and the connection counts the total from `send`. What exceeds a limit raises `ResponseTooLargeError`, a `BackendError` of its own, and the connection is not reused.

--- a/flamingolug/errors.py
+++ b/flamingolug/errors.py
@@ -16,6 +16,7 @@
     "PeerLostError",
     "PeerUnreachableError",
     "RefusedError",
+    "ResponseTooLargeError",
     "StoreConflictError",
     "StoreError",
     "StoreUnavailableError",
@@ -102,6 +103,14 @@
         self.sent = sent
 
 
+class ResponseTooLargeError(BackendError):
+    """The answer to a request exceeds a limit; the request may have been run.
+
+    The limit is one of the response, of all responses to the request, or of all
+    responses that are received at the time.
+    """
+
+
 class PeerUnreachableError(FlamingolugError):
     """The peer has not processed the message and will not process it.
 
--- a/flamingolug/http1/_client.py
+++ b/flamingolug/http1/_client.py
@@ -23,6 +23,8 @@
         self.requests_sent = 0
         self._stream = stream
         self._reader = _parse.ResponseReader()
+        #: Bytes received since the last request was sent.
+        self._received = 0
 
     def close(self) -> None:
         """Closes the connection; a request in progress is aborted."""
@@ -52,6 +54,8 @@
             BackendError: the connection failed during sending.
         """
         self.requests_sent += 1
+        self._received = 0
+        self._reader.start_exchange()
         try:
             return self._stream.send_all(data, stop_if_readable=True)
         except OSError as exc:
@@ -64,27 +68,30 @@
 
         Args:
             is_head_request: whether the method of the request was HEAD.
-            max_bytes: number of received bytes above which a response that is
-                still incomplete is refused.
+            max_bytes: number of bytes received since the request was sent,
+                above which a response that is still incomplete is refused.
 
         Raises:
+            ResponseTooLargeError: the response, or all responses to the request
+                together, exceed a limit.
             BackendError: the connection failed or was closed too early, or the
-                response is malformed or too large.
+                response is malformed.
         """
         reader = self._reader
         reader.expect(is_head_request)
-        received = 0
         while not reader.ready:
+            if reader.excess:
+                raise self._excess_error(reader.excess)
             if reader.broken:
                 raise self._receive_error("malformed response")
-            if received > max_bytes:
-                raise self._receive_error("response too large")
+            if self._received > max_bytes:
+                raise self._excess_error("response too large")
             try:
                 data = self._stream.recv(_READ_BYTES)
             except OSError as exc:
                 raise self._receive_error(f"reset: {exc}") from exc
             if data:
-                received += len(data)
+                self._received += len(data)
                 reader.feed(data)
                 continue
             reader.finish()
@@ -93,7 +100,7 @@
                     "closed before the response was complete"
                 )
         response = reader.ready.popleft()
-        if reader.ready or reader.partial or reader.broken:
+        if reader.ready or reader.partial or reader.broken or reader.excess:
             # The bytes after the response belong to no request.
             return response._replace(reusable=False)
         return response
@@ -103,6 +110,11 @@
             message, step="receive", peer=self.peer, sent=True
         )
 
+    def _excess_error(self, message: str) -> errors.ResponseTooLargeError:
+        return errors.ResponseTooLargeError(
+            message, step="receive", peer=self.peer, sent=True
+        )
+
 
 def open_stream(
     host: str, port: int, timeout_s: float, local_host: str = ""
--- a/flamingolug/http1/_parse.py
+++ b/flamingolug/http1/_parse.py
@@ -29,6 +29,12 @@
 )
 #: Statuses whose responses have neither a body nor a length.
 NO_BODY = (204, 304)
+#: Maximum number of bytes outside the bodies of all responses to one request,
+#: interim ones included.
+MAX_RESPONSE_HEAD_BYTES = 128 * 1024
+#: Maximum number of header fields of one response. A short field takes many
+#: times its size in memory.
+MAX_RESPONSE_FIELDS = 512
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
@@ -195,6 +201,7 @@
         ready: complete responses, in the order of their arrival.
         partial: whether a response has begun and is incomplete.
         broken: whether bytes were received that belong to no valid response.
+        excess: which limit the responses to a request exceed, empty if none.
     """
 
     def __init__(self) -> None:
@@ -202,12 +209,23 @@
         self.ready: deque[Response] = deque()
         self.partial = False
         self.broken = False
+        self.excess = ""
         self._parser = httptools.HttpResponseParser(self)
         self._is_head_request = False
+        #: Bytes outside bodies since the last request.
+        self._head_bytes = 0
+        #: Bytes of chunk headers and trailers since the last body data.
+        self._framing_bytes = 0
+        #: Body bytes in the data that is being parsed.
+        self._fed_body_bytes = 0
         #: Whether a HEAD request was answered; no further response is accepted.
         self._head_answered = False
         self._reset()
 
+    def start_exchange(self) -> None:
+        """Starts to count the responses to a new request."""
+        self._head_bytes = 0
+
     def expect(self, is_head_request: bool) -> None:
         """Prepares for the response to a request.
 
@@ -218,13 +236,16 @@
 
     def feed(self, data: bytes) -> None:
         """Parses bytes received from the connection."""
-        if self._head_answered:
+        if self._head_answered or self.broken:
             self.broken = True
             return
+        was_in_body = self.partial and self._in_body
+        self._fed_body_bytes = 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self.broken = True
+        self._count(len(data) - self._fed_body_bytes, was_in_body)
 
     def finish(self) -> None:
         """Handles the end of the stream.
@@ -242,6 +263,10 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header field."""
         self._headers.append((name.lower(), value))
+        if len(self._headers) > MAX_RESPONSE_FIELDS:
+            self.excess = "too many header fields"
+            # Stops the parser, see `RequestReader._reject`.
+            raise errors.CodecError(self.excess)
 
     def on_headers_complete(self) -> None:
         """Determines how the body is framed."""
@@ -261,6 +286,7 @@
     def on_body(self, data: bytes) -> None:
         """Stores a part of the body."""
         self._body.append(data)
+        self._fed_body_bytes += len(data)
 
     def on_message_complete(self) -> None:
         """Completes a response; interim (1xx) responses are discarded."""
@@ -269,6 +295,19 @@
             return
         self._complete(self._framed and self._parser.should_keep_alive())
 
+    def _count(self, size: int, was_in_body: bool) -> None:
+        """Counts the bytes outside bodies in the data that was parsed."""
+        if not was_in_body:
+            self._head_bytes += size
+        elif self._fed_body_bytes:
+            self._framing_bytes = 0
+        else:
+            self._framing_bytes += size
+        if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
+            self.excess = "head too large"
+        elif self._framing_bytes > MAX_RESPONSE_HEAD_BYTES:
+            self.excess = "chunk header or trailers too large"
+
     def _complete(self, reusable: bool) -> None:
         body = self._body
         self.ready.append(
@@ -284,6 +323,7 @@
     def _reset(self) -> None:
         self._headers: Headers = []
         self._body: list[bytes] = []
+        self._framing_bytes = 0
         #: Whether the status or the headers determine where the body ends.
         self._framed = False
         self._in_body = False
