Free received messages with their connection, not at a collection

Memory of a node grew with answers that were refused, and with idle connections. A reader and its parser refer to each other, so a closed connection kept up to 64 MiB until a collection of its generation, which a node runs rarely (GC_YOUNG_OBJECTS, GC_MIDDLE_RUNS). A reader also kept its last message until the next one began, so each idle connection held one.

`Connection.close` and `serve_connection` now discard the reader, which breaks the cycle, and both readers drop a message once it is complete. Connections of callers (gateway/_entry.py) still need the call of `RequestReader.discard`.

--- a/flamingolug/http1/_client.py
+++ b/flamingolug/http1/_client.py
@@ -29,6 +29,7 @@
     def close(self) -> None:
         """Closes the connection; a request in progress is aborted."""
         self._stream.close()
+        self._reader.discard()
 
     @property
     def closed(self) -> bool:
--- a/flamingolug/http1/_parse.py
+++ b/flamingolug/http1/_parse.py
@@ -1,6 +1,7 @@
 """Incremental parsers of requests and responses, based on httptools."""
 
 from collections import deque
+from typing import Any
 from typing import NamedTuple
 
 import httptools
@@ -114,7 +115,7 @@
         #: Whether a request has begun and is incomplete.
         self.partial = False
         self._limits = limits
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: Any = httptools.HttpRequestParser(self)
         self._reset()
 
     def feed(self, data: bytes) -> None:
@@ -128,6 +129,16 @@
         except httptools.HttpParserError:
             self.error_status = self.error_status or 400
 
+    def discard(self) -> None:
+        """Drops what is held; bytes received later are ignored."""
+        self.error_status = self.error_status or 400
+        self.ready.clear()
+        self.partial = False
+        self._reset()
+        # The parser refers to this reader. Without the cycle, both are freed
+        # at once.
+        self._parser = None
+
     def on_message_begin(self) -> None:
         """Starts a new request."""
         self._reset()
@@ -174,6 +185,8 @@
                 self._parser.should_keep_alive(),
             )
         )
+        # An idle connection holds no request.
+        self._reset()
 
     def _count_head_bytes(self, size: int) -> None:
         self._head_bytes += size
@@ -210,7 +223,7 @@
         self.partial = False
         self.broken = False
         self.excess = ""
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: Any = httptools.HttpResponseParser(self)
         self._is_head_request = False
         #: Bytes outside bodies since the last request.
         self._head_bytes = 0
@@ -226,6 +239,13 @@
         """Starts to count the responses to a new request."""
         self._head_bytes = 0
 
+    def discard(self) -> None:
+        """Drops what is held; bytes received later are ignored."""
+        self.broken = True
+        self.ready.clear()
+        self._reset()
+        self._parser = None  # See `RequestReader.discard`.
+
     def expect(self, is_head_request: bool) -> None:
         """Prepares for the response to a request.
 
@@ -319,6 +339,8 @@
             )
         )
         self.partial = False
+        # An idle connection holds no response.
+        self._reset()
 
     def _reset(self) -> None:
         self._headers: Headers = []
--- a/flamingolug/http1/_server.py
+++ b/flamingolug/http1/_server.py
@@ -54,5 +54,6 @@
             error=exc,
         )
     finally:
+        reader.discard()
         if stream is not None:
             stream.close()
--- a/flamingolug/http1/tests/test_client.py
+++ b/flamingolug/http1/tests/test_client.py
@@ -1,6 +1,10 @@
 """Client side of connections: limits on what a server may send."""
 
+import gc
+import tracemalloc
 import unittest
+import weakref
+from typing import Any
 
 import gevent
 from gevent import server as gevent_server
@@ -105,3 +109,37 @@
             while received < 4 * _MAX_BYTES:
                 received += len(conn.receive(False, _MAX_BYTES).body)
         self.assertLess(received, 2 * _MAX_BYTES)
+
+    # Guards against closed connections whose parsers, which are in a reference
+    # cycle, kept the bytes of a refused response until a collection.
+    def test_closed_connection_frees_what_it_received(self) -> None:
+        server = EndlessServer(_HEAD + b"\r\n", b"z")
+        self.addCleanup(server.stop)
+        conn = server.connect()
+        reader = weakref.ref(conn._reader)
+        gc.disable()
+        self.addCleanup(gc.enable)
+        with self.assertRaises(errors.ResponseTooLargeError):
+            conn.receive(False, _MIB)
+        conn.close()
+        del conn
+        self.assertIsNone(reader())
+
+    # Guards against idle connections that kept their last message.
+    def test_idle_connection_holds_no_message(self) -> None:
+        length = b"content-length: %d\r\n\r\n" % _MIB
+        cases: dict[str, tuple[Any, bytes]] = {
+            "response": (http1.ResponseReader(), _HEAD),
+            "request": (
+                http1.RequestReader(http1.MessageLimits(1024, _MIB)),
+                b"PUT / HTTP/1.1\r\n",
+            ),
+        }
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for name, (reader, begin) in cases.items():
+            with self.subTest(name):
+                reader.feed(begin + length + b"z")
+                reader.feed(b"z" * (_MIB - 1))
+                self.assertEqual(len(reader.ready.popleft().body), _MIB)
+                self.assertLess(tracemalloc.get_traced_memory()[0], _MIB / 2)
