Hold an incomplete body in one buffer

A body in chunks of two bytes took 6.5 times the received bytes in memory, as a list of small objects, so a limit in received bytes did not bound the memory. Both readers now add to one buffer; a body that arrives in one part is still passed on without a copy.

--- a/flamingolug/http1/_parse.py
+++ b/flamingolug/http1/_parse.py
@@ -96,6 +96,19 @@
     return b""
 
 
+def _append(body: bytes | bytearray, data: bytes) -> bytes | bytearray:
+    """Returns a body with `data` added, in one buffer.
+
+    A list of parts would take many times the size of small parts.
+    """
+    if not body:
+        return data
+    if isinstance(body, bytes):
+        body = bytearray(body)
+    body += data
+    return body
+
+
 class RequestReader:
     """Parses the bytes of a connection accepted from a client into requests.
 
@@ -115,6 +128,7 @@
         #: Whether a request has begun and is incomplete.
         self.partial = False
         self._limits = limits
+        self._body: bytes | bytearray = b""
         self._parser: Any = httptools.HttpRequestParser(self)
         self._reset()
 
@@ -164,9 +178,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Stores a part of the body."""
-        self._body.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > self._limits.body_bytes:
+        self._body = _append(self._body, data)
+        if len(self._body) > self._limits.body_bytes:
             self._reject(413)
 
     def on_message_complete(self) -> None:
@@ -175,13 +188,12 @@
         self.wants_continue = False
         if self.error_status:
             return
-        body = self._body
         self.ready.append(
             Request(
                 self._parser.get_method(),
                 self._target,
                 self._headers,
-                body[0] if len(body) == 1 else b"".join(body),
+                bytes(self._body),
                 self._parser.should_keep_alive(),
             )
         )
@@ -202,8 +214,7 @@
     def _reset(self) -> None:
         self._target = b""
         self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = b""
         self._head_bytes = 0
 
 
@@ -223,6 +234,7 @@
         self.partial = False
         self.broken = False
         self.excess = ""
+        self._body: bytes | bytearray = b""
         self._parser: Any = httptools.HttpResponseParser(self)
         self._is_head_request = False
         #: Bytes outside bodies since the last request.
@@ -305,7 +317,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Stores a part of the body."""
-        self._body.append(data)
+        self._body = _append(self._body, data)
         self._fed_body_bytes += len(data)
 
     def on_message_complete(self) -> None:
@@ -329,12 +341,11 @@
             self.excess = "chunk header or trailers too large"
 
     def _complete(self, reusable: bool) -> None:
-        body = self._body
         self.ready.append(
             Response(
                 self._status,
                 self._headers,
-                body[0] if len(body) == 1 else b"".join(body),
+                bytes(self._body),
                 reusable,
             )
         )
@@ -344,7 +355,7 @@
 
     def _reset(self) -> None:
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        self._body = b""
         self._framing_bytes = 0
         #: Whether the status or the headers determine where the body ends.
         self._framed = False
--- a/flamingolug/http1/tests/test_client.py
+++ b/flamingolug/http1/tests/test_client.py
@@ -143,3 +143,26 @@
                 reader.feed(b"z" * (_MIB - 1))
                 self.assertEqual(len(reader.ready.popleft().body), _MIB)
                 self.assertLess(tracemalloc.get_traced_memory()[0], _MIB / 2)
+
+    # Guards against bodies in small chunks that took many times their size.
+    def test_small_chunks_take_no_more_than_the_received_bytes(self) -> None:
+        chunked = b"transfer-encoding: chunked\r\n\r\n"
+        cases: dict[str, tuple[Any, bytes]] = {
+            "response": (http1.ResponseReader(), _HEAD),
+            "request": (
+                http1.RequestReader(http1.MessageLimits(1024, _MIB)),
+                b"PUT / HTTP/1.1\r\n",
+            ),
+        }
+        for name, (reader, begin) in cases.items():
+            with self.subTest(name):
+                chunks = b"2\r\nok\r\n" * (_MIB // 7)
+                tracemalloc.start()
+                reader.feed(begin + chunked)
+                reader.feed(chunks)
+                held_bytes = tracemalloc.get_traced_memory()[0]
+                tracemalloc.stop()
+                self.assertLess(held_bytes, _MIB)
+                reader.feed(b"0\r\n\r\n")
+                body = reader.ready.popleft().body
+                self.assertEqual(body, b"ok" * (_MIB // 7))
