Refuse chunk headers that take more than the body

Chunks of one or two bytes without end cost a node a second of processor time for each 20 MiB before they reach the limit of a body. A call to such a server had its 502 after 3.1 s (deadline 3 s) with six calls at once, in a process that also ran the server.

Chunk headers may now take no more than the body and the limit of a head together.

Before: [small chunks] AssertionError: not less than

--- a/flamingolug/http1/_parse.py
+++ b/flamingolug/http1/_parse.py
@@ -239,8 +239,10 @@
         self._is_head_request = False
         #: Bytes outside bodies since the last request.
         self._head_bytes = 0
-        #: Bytes of chunk headers and trailers since the last body data.
+        #: Bytes of chunk headers and trailers, in total and since the last
+        #: body data.
         self._framing_bytes = 0
+        self._stalled_bytes = 0
         #: Body bytes in the data that is being parsed.
         self._fed_body_bytes = 0
         #: Whether a HEAD request was answered; no further response is accepted.
@@ -331,14 +333,18 @@
         """Counts the bytes outside bodies in the data that was parsed."""
         if not was_in_body:
             self._head_bytes += size
-        elif self._fed_body_bytes:
-            self._framing_bytes = 0
         else:
             self._framing_bytes += size
-        if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
+            self._stalled_bytes += size
+            if self._fed_body_bytes:
+                self._stalled_bytes = 0
+        max_bytes = MAX_RESPONSE_HEAD_BYTES
+        if self._head_bytes > max_bytes:
             self.excess = "head too large"
-        elif self._framing_bytes > MAX_RESPONSE_HEAD_BYTES:
+        elif self._stalled_bytes > max_bytes:
             self.excess = "chunk header or trailers too large"
+        elif self._framing_bytes > max_bytes + len(self._body):
+            self.excess = "chunk headers larger than the body"
 
     def _complete(self, reusable: bool) -> None:
         self.ready.append(
@@ -357,6 +363,7 @@
         self._headers: Headers = []
         self._body = b""
         self._framing_bytes = 0
+        self._stalled_bytes = 0
         #: Whether the status or the headers determine where the body ends.
         self._framed = False
         self._in_body = False
--- a/flamingolug/http1/tests/test_client.py
+++ b/flamingolug/http1/tests/test_client.py
@@ -83,7 +83,8 @@
                 b"z",
                 _MAX_BYTES,
             ),
-            "chunks": (_CHUNKED, b"2\r\nok\r\n", _MAX_BYTES),
+            "small chunks": (_CHUNKED, b"2\r\nok\r\n", 0),
+            "chunks": (_CHUNKED, b"8\r\n--ok--ok\r\n", _MAX_BYTES),
         }
         for name, (begin, repeated, read_bytes) in cases.items():
             with self.subTest(name):
