Give an answer that exceeds a limit its own reason

Callers and operators could not tell an answer without end from a connection that was lost: both were `lost`. The call is unknown as before, so one that is not idempotent is not repeated.

--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -34,7 +34,7 @@
 #: Fraction of the declared slots that is used: some backend servers slow down
 #: by a third when more than 95 % of the slots are taken.
 USABLE_SLOTS_FRACTION = 0.94
-#: Largest response that is accepted from the backend server, bytes.
+#: Most bytes that are accepted from the backend server for one call.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 #: Weight of a new sample in the smoothed failure ratio.
 FAILURE_SMOOTHING = 0.1
@@ -437,17 +437,21 @@
         if ticket.cancelled:
             return _model.unknown("cancelled")
         self._update_failure_ratio(True)
+        reason = "lost"
+        if isinstance(exc, errors.ResponseTooLargeError):
+            reason = "response-too-large"
         telemetry.event(
             _LOGGER,
             "upstream.lost",
             level=logging.WARNING,
             id=ticket.call.request_id,
+            reason=reason,
             upstream=ticket.call.upstream_id,
             step=exc.step,
             peer=exc.peer,
             error=exc.message,
         )
-        return _model.unknown("lost")
+        return _model.unknown(reason)
 
     def _make_outcome(
         self,
--- a/flamingolug_standins/sealing_server.py
+++ b/flamingolug_standins/sealing_server.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from typing import NoReturn
 
 import gevent
 import msgspec
@@ -33,6 +34,9 @@
             response; returns the bytes to send instead. None sends them
             unchanged. An `OSError` that it raises closes the connection
             without a response.
+        endless: beginning of an answer, and the bytes that follow it until the
+            connection is closed; sent instead of the response to a request that
+            ran. None sends responses.
         running: number of requests that are running.
         max_running: maximum number of requests that ran at once.
         slots: number of slots in the reports; not enforced.
@@ -66,6 +70,7 @@
         self.rewrite_response: (
             Callable[[http1.Request, bytes], bytes] | None
         ) = None
+        self.endless: tuple[bytes, bytes] | None = None
         self.running = 0
         self.max_running = 0
         self.slots = 8
@@ -144,7 +149,10 @@
                     return
                 reader.feed(data)
                 while reader.ready:
-                    stream.send_all(self._respond(reader.ready.popleft()))
+                    response = self._respond(reader.ready.popleft())
+                    if self.endless is not None:
+                        _send_endlessly(stream, *self.endless)
+                    stream.send_all(response)
         except OSError:
             return
         finally:
@@ -183,3 +191,17 @@
         if self.rewrite_response is not None:
             return self.rewrite_response(req, response)
         return response
+
+
+def _send_endlessly(
+    stream: http1.Stream, begin: bytes, repeated: bytes
+) -> NoReturn:
+    """Sends until the other side closes the connection.
+
+    Raises:
+        OSError: the other side has closed the connection.
+    """
+    stream.send_all(begin)
+    data = repeated * (65536 // len(repeated) + 1)
+    while True:
+        stream.send_all(data)
