Bound the memory of all incomplete answers of a node

A node with 300 MB was allowed to hold 64 MiB for each of its running calls; a few answers without end took it above its limit, and the platform ended it with all its requests.

The incomplete answers of all running calls now share an eighth of the memory that the settings state (MemoryMb of Limits, 300 if absent).

--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -36,6 +36,9 @@
 USABLE_SLOTS_FRACTION = 0.94
 #: Most bytes that are accepted from the backend server for one call.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+#: Fraction of the node's memory for incomplete responses of all running calls.
+#: A complete response is copied several times on its way to the caller.
+RESPONSE_MEMORY_FRACTION = 0.125
 #: Weight of a new sample in the smoothed failure ratio.
 FAILURE_SMOOTHING = 0.1
 #: Seconds for which a backend server gets no calls after a connection to it
@@ -98,6 +101,9 @@
         self.slots = _slots.Slots(1, deps.timers.now)
         self._deps = deps
         self._now = deps.timers.now
+        self._response_memory = http1.ResponseMemory(
+            int(deps.cfg.memory_bytes * RESPONSE_MEMORY_FRACTION)
+        )
         self._pool = self._new_pool()
         self._tickets: set[_slots.Ticket] = set()
         self._reported_at = 0.0
@@ -505,11 +511,11 @@
     def _new_pool(self) -> _pool.Pool:
         cfg = self._deps.cfg
         return _pool.Pool(
-            cfg.app[0],
-            cfg.app[1],
+            cfg.app,
             cfg.identity.host,
             self._now,
             self._deps.metrics.count_connection,
+            self._response_memory,
         )
 
     def _check_backend(self) -> None:
--- a/flamingolug/gateway/_model.py
+++ b/flamingolug/gateway/_model.py
@@ -231,3 +231,5 @@
     #: Time from SIGTERM to SIGKILL.
     grace_s: float
     retries: RetryBounds
+    #: Memory above which the platform ends the process.
+    memory_bytes: int = 300_000_000
--- a/flamingolug/gateway/_pool.py
+++ b/flamingolug/gateway/_pool.py
@@ -24,26 +24,26 @@
 
     def __init__(
         self,
-        host: str,
-        port: int,
+        address: tuple[str, int],
         local_host: str,
         now: Callable[[], float],
         on_open: Callable[[], None],
+        memory: http1.ResponseMemory,
     ) -> None:
         """Creates a pool without connections.
 
         Args:
-            host: host of the backend server.
-            port: its port.
+            address: host and port of the backend server.
             local_host: local address of the connections.
             now: clock, in seconds.
             on_open: called for each connection that is opened.
+            memory: limit of what incomplete responses hold together.
         """
-        self._host = host
-        self._port = port
+        self._address = address
         self._local_host = local_host
         self._now = now
         self._on_open = on_open
+        self._memory = memory
         #: Each with the clock reading since which it is idle and the longest
         #: idle time, seconds.
         self._idle: list[tuple[http1.Connection, float, float]] = []
@@ -64,10 +64,10 @@
                 return conn
             conn.close()
         conn = http1.open_connection(
-            self._host,
-            self._port,
+            *self._address,
             min(timeout_s, CONNECT_TIMEOUT_S),
             self._local_host,
+            self._memory,
         )
         self._on_open()
         return conn
--- a/flamingolug/http1/__init__.py
+++ b/flamingolug/http1/__init__.py
@@ -3,6 +3,7 @@
 from flamingolug.http1._client import Connection
 from flamingolug.http1._client import open_connection
 from flamingolug.http1._client import open_stream
+from flamingolug.http1._client import ResponseMemory
 from flamingolug.http1._format import format_request
 from flamingolug.http1._format import format_response
 from flamingolug.http1._parse import CONNECTION_HEADERS
@@ -27,6 +28,7 @@
     "RequestHandler",
     "RequestReader",
     "Response",
+    "ResponseMemory",
     "ResponseReader",
     "Stream",
     "end_to_end_headers",
--- a/flamingolug/http1/_client.py
+++ b/flamingolug/http1/_client.py
@@ -10,19 +10,61 @@
 from flamingolug.http1 import _stream
 
 _READ_BYTES = 65536
+_NO_MEMORY = "largest of too many incomplete responses"
+
+
+class ResponseMemory:
+    """Limits what the incomplete responses of several connections hold.
+
+    When they exceed the limit together, the largest one is refused. A response
+    is therefore never refused because of larger ones.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        """Creates a limit of which nothing is used."""
+        self.max_bytes = max_bytes
+        self.held_bytes = 0
+        self._sizes: dict[Connection, int] = {}
+
+    def add(self, conn: "Connection", size: int) -> None:
+        """Adds bytes that a connection has received."""
+        self._sizes[conn] = self._sizes.get(conn, 0) + size
+        self.held_bytes += size
+        while self.held_bytes > self.max_bytes:
+            largest = max(self._sizes, key=self._sizes.__getitem__)
+            self.remove(largest)
+            largest.refuse_response()
+
+    def remove(self, conn: "Connection") -> None:
+        """Removes all bytes of a connection."""
+        self.held_bytes -= self._sizes.pop(conn, 0)
 
 
 class Connection:
     """Connection to a server that carries one request at a time."""
 
-    def __init__(self, stream: _stream.Stream, peer: str) -> None:
-        """Wraps a connected stream and becomes responsible for closing it."""
+    def __init__(
+        self,
+        stream: _stream.Stream,
+        peer: str,
+        memory: ResponseMemory | None = None,
+    ) -> None:
+        """Wraps a connected stream and becomes responsible for closing it.
+
+        Args:
+            stream: the connected stream.
+            peer: HOST:PORT of the server.
+            memory: limit that the connection shares with others.
+        """
         #: HOST:PORT of the server.
         self.peer = peer
         #: Requests sent so far.
         self.requests_sent = 0
         self._stream = stream
         self._reader = _parse.ResponseReader()
+        self._memory = memory
+        #: Whether the response was refused in favour of other connections.
+        self._refused = False
         #: Bytes received since the last request was sent.
         self._received = 0
 
@@ -31,6 +73,11 @@
         self._stream.close()
         self._reader.discard()
 
+    def refuse_response(self) -> None:
+        """Closes the connection, whose response takes too much memory."""
+        self._refused = True
+        self.close()
+
     @property
     def closed(self) -> bool:
         """Whether the connection was closed on this side."""
@@ -78,6 +125,15 @@
             BackendError: the connection failed or was closed too early, or the
                 response is malformed.
         """
+        try:
+            return self._receive(is_head_request, max_bytes)
+        finally:
+            if self._memory is not None:
+                self._memory.remove(self)
+
+    def _receive(
+        self, is_head_request: bool, max_bytes: int
+    ) -> _parse.Response:
         reader = self._reader
         reader.expect(is_head_request)
         while not reader.ready:
@@ -90,9 +146,15 @@
             try:
                 data = self._stream.recv(_READ_BYTES)
             except OSError as exc:
+                if self._refused:
+                    raise self._excess_error(_NO_MEMORY) from exc
                 raise self._receive_error(f"reset: {exc}") from exc
             if data:
                 self._received += len(data)
+                if self._memory is not None:
+                    self._memory.add(self, len(data))
+                if self._refused:
+                    raise self._excess_error(_NO_MEMORY)
                 reader.feed(data)
                 continue
             reader.finish()
@@ -144,9 +206,20 @@
 
 
 def open_connection(
-    host: str, port: int, timeout_s: float, local_host: str = ""
+    host: str,
+    port: int,
+    timeout_s: float,
+    local_host: str = "",
+    memory: ResponseMemory | None = None,
 ) -> Connection:
-    """Opens an HTTP connection; the arguments are those of `open_stream`.
+    """Opens an HTTP connection.
+
+    Args:
+        host: see `open_stream`.
+        port: see `open_stream`.
+        timeout_s: see `open_stream`.
+        local_host: see `open_stream`.
+        memory: limit that the connection shares with others.
 
     Raises:
         BackendError: the connection could not be opened; nothing was sent.
@@ -158,4 +231,4 @@
         raise errors.BackendError(
             f"no connection: {exc}", step="connect", peer=peer, sent=False
         ) from exc
-    return Connection(stream, peer)
+    return Connection(stream, peer, memory)
--- a/flamingolug/http1/tests/test_client.py
+++ b/flamingolug/http1/tests/test_client.py
@@ -111,6 +111,17 @@
                 received += len(conn.receive(False, _MAX_BYTES).body)
         self.assertLess(received, 2 * _MAX_BYTES)
 
+    def test_largest_of_too_many_incomplete_responses_is_refused(self) -> None:
+        server = EndlessServer(b"", b"z")
+        self.addCleanup(server.stop)
+        large, small = server.connect(), server.connect()
+        memory = http1.ResponseMemory(_MIB)
+        memory.add(large, _MIB - 1)
+        memory.add(small, 2)
+        self.assertEqual((large.closed, small.closed), (True, False))
+        self.assertEqual(memory.held_bytes, 2)
+        small.close()
+
     # Guards against closed connections whose parsers, which are in a reference
     # cycle, kept the bytes of a refused response until a collection.
     def test_closed_connection_frees_what_it_received(self) -> None:
--- a/flamingolug/platform/_settings.py
+++ b/flamingolug/platform/_settings.py
@@ -31,6 +31,11 @@
     retry_slack: float = msgspec.field(name="BudgetSlack", default=48.0)
 
 
+class _Limits(msgspec.Struct):
+    #: Memory above which the platform ends the process, megabytes.
+    memory_mb: float = msgspec.field(name="MemoryMb", default=300.0)
+
+
 class _Platform(msgspec.Struct):
     address: str = msgspec.field(name="Address")
     min_lease_ms: float = msgspec.field(name="TtlMinMs", default=1000.0)
@@ -48,6 +53,7 @@
     service: str = msgspec.field(name="Service")
     listen: _Listen = msgspec.field(name="ListenAddrs")
     platform: _Platform = msgspec.field(name="Platform")
+    limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
     bounds: _Bounds = msgspec.field(name="Bounds", default_factory=_Bounds)
     report_interval_ms: float = msgspec.field(
         name="HeartbeatMs", default=1500.0
@@ -96,6 +102,7 @@
             parsed.bounds.retry_slack,
             parsed.bounds.retry_window_s,
         ),
+        memory_bytes=int(parsed.limits.memory_mb * 1_000_000),
     )
 
 
--- a/flamingolug/platform/tests/test_endless.py
+++ b/flamingolug/platform/tests/test_endless.py
@@ -1,11 +1,17 @@
 """A backend server that sends bytes without end, on the whole path."""
 
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
 import time
 import unittest
 from typing import NamedTuple
 
 import gevent
 
+from flamingolug import platform
 from flamingolug.gateway import _gate
 from flamingolug.platform.tests import deployment
 from flamingolug_standins import documents
@@ -13,6 +19,23 @@
 _CALLS = 6
 #: Time within which a caller must have an answer; its deadline is 3 s.
 _ANSWER_S = 2.0
+_MEMORY_MB = 240
+_SETTINGS = """\
+NodeName = "n"
+Ip = "{host}"
+Zone = "z1"
+InternalPorts = [{link}, {metrics}]
+AppAddr = "{host}:{app}"
+Service = "shelf"
+[ListenAddrs]
+Outbound = "{host}:{outbound}"
+Ready = "{host}:{ready}"
+Control = "{host}:{control}"
+[Limits]
+MemoryMb = {memory}
+[Platform]
+Address = "{store}"
+"""
 _ROUTES = [
     documents.make_route(
         "read", "shelf", Kind="non_idempotent", TimeoutMs=5000
@@ -89,3 +112,76 @@
         # service that failed.
         sound = deployment.send_request(shelf, "read", "sound", b"POST")
         self.assertEqual(sound.body, b"body of sound")
+
+
+class MemoryTest(unittest.TestCase):
+    """Memory of a node process whose backend server sends without end."""
+
+    # Guards against a node that its platform kills because each of its running
+    # calls may hold a response of the largest size.
+    def test_memory_of_a_node_stays_below_its_limit(self) -> None:
+        nodes = deployment.Deployment(("shelf",), _ROUTES)
+        self.addCleanup(nodes.stop)
+        (shelf,) = nodes.instances
+        shelf.server.slots = 40
+        shelf.node.close()
+        process = self._start_process(shelf, nodes.store.address)
+        deployment.wait_until(
+            lambda: shelf.server.report() == 200, "the node accepts reports"
+        )
+        shelf.wait_ready()
+        deployment.wait_until(
+            lambda: self._send(shelf, "first") == 200, "a call is answered"
+        )
+        shelf.server.endless = _CASES["body without length"]
+        calls = [
+            gevent.spawn(self._send, shelf, f"c{index}") for index in range(30)
+        ]
+        gevent.joinall(calls, raise_error=True)
+        self.assertEqual([call.get() for call in calls], [502] * len(calls))
+        status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+        self.assertLess(_peak_memory_kb(status), _MEMORY_MB * 1000)
+
+    def _send(self, shelf: deployment.Instance, request_id: str) -> int:
+        return deployment.send_request(
+            shelf, "read", request_id, b"POST"
+        ).status
+
+    def _start_process(
+        self, instance: deployment.Instance, store: tuple[str, int]
+    ) -> "subprocess.Popen[bytes]":
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        path = pathlib.Path(directory.name) / "settings.toml"
+        cfg = instance.settings
+        text = _SETTINGS.format(
+            host=instance.host,
+            link=cfg.link[1],
+            metrics=cfg.link[1] + 10,
+            app=cfg.app[1],
+            outbound=cfg.outbound[1],
+            ready=cfg.ready[1],
+            control=cfg.control[1],
+            memory=_MEMORY_MB,
+            store=f"{store[0]}:{store[1]}",
+        )
+        path.write_text(text, encoding="utf-8")
+        self.assertEqual(
+            platform.load_settings(str(path)).memory_bytes,
+            _MEMORY_MB * 1_000_000,
+        )
+        process = subprocess.Popen(
+            [sys.executable, "-m", "flamingolug.launcher"],
+            env=os.environ | {platform.SETTINGS_VARIABLE: str(path)},
+            stdout=subprocess.DEVNULL,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+
+def _peak_memory_kb(status: str) -> int:
+    for line in status.splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1])
+    raise AssertionError("no VmHWM")
