Limit the answers to other requests in one exchange

A backend server that sends complete answers with another id without end kept 125 calls for 3.1 s each (trial with a node as a process): 64 MiB of such answers were read for each call, and the deadline (504) came first.

--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -36,6 +36,8 @@
 USABLE_SLOTS_FRACTION = 0.94
 #: Most bytes that are accepted from the backend server for one call.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+#: Maximum number of answers to other requests that are skipped in one exchange.
+MAX_FOREIGN_ANSWERS = 16
 #: Fraction of the node's memory for incomplete responses of all running calls.
 #: A complete response is copied several times on its way to the caller.
 RESPONSE_MEMORY_FRACTION = 0.125
@@ -411,6 +413,7 @@
             conn, data, is_head_request, MAX_RESPONSE_BYTES
         )
         call_id = call.request_id.encode()
+        foreign_answers = 0
         while response.header(header_names.request_id) != call_id:
             answer_id = response.header(header_names.request_id)
             if (
@@ -421,6 +424,14 @@
                 # On a new connection, a refusal without id can only answer this
                 # request.
                 return response._replace(reusable=False)
+            foreign_answers += 1
+            if foreign_answers > MAX_FOREIGN_ANSWERS:
+                raise errors.ResponseTooLargeError(
+                    "too many answers to other requests",
+                    step="receive",
+                    peer=conn.peer,
+                    sent=True,
+                )
             # Not the answer to this request, for example that to an earlier
             # request of this connection; the next answer is read.
             telemetry.event(
--- a/flamingolug/platform/tests/test_endless.py
+++ b/flamingolug/platform/tests/test_endless.py
@@ -85,6 +85,22 @@
             with self.subTest(name):
                 self._check(case)
 
+    # Guards against foreign answers without end, each read with the
+    # limit of a whole response.
+    def test_foreign_answers_in_one_exchange_are_limited(self) -> None:
+        nodes = deployment.Deployment(("shelf",), _ROUTES)
+        self.addCleanup(nodes.stop)
+        (shelf,) = nodes.instances
+        cases = {"most": (16, 200), "too many": (17, 502)}
+        for name, (foreign_answers, status) in cases.items():
+            with self.subTest(name):
+                foreign = _FOREIGN * foreign_answers
+                shelf.server.rewrite_response = (
+                    lambda req, data, foreign=foreign: foreign + data
+                )
+                response = deployment.send_request(shelf, "read", name, b"POST")
+                self.assertEqual(response.status, status)
+
     def _check(self, case: Case) -> None:
         nodes = deployment.Deployment(("shelf", "loans"), _ROUTES)
         self.addCleanup(nodes.stop)
