Limit fields, chunk headers and empty lines of requests that never end

The limit of a head counted only what the parser reports, which is a field once it is complete and chunk headers never; the field was held, and copied again with each piece, while each piece postponed the time-out.

The reader now also counts the raw bytes received since a request last made progress (its begin, its head, a part of its body or its end) and answers 431 beyond the limit of a head.

--- a/flamingolug/http1/_parse.py
+++ b/flamingolug/http1/_parse.py
@@ -128,6 +128,12 @@
         #: Whether a request has begun and is incomplete.
         self.partial = False
         self._limits = limits
+        #: Whether the data that is being parsed begins a request, completes a
+        #: head or a request, or has a part of a body.
+        self._progressed = False
+        #: Bytes received since data did so last. The parser reports a field
+        #: only when it is complete, and no chunk headers.
+        self._stalled_bytes = 0
         self._body: bytes | bytearray = b""
         self._parser: Any = httptools.HttpRequestParser(self)
         self._reset()
@@ -136,12 +142,19 @@
         """Parses bytes received from the connection."""
         if self.error_status:
             return
+        self._progressed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.error_status = 400
         except httptools.HttpParserError:
             self.error_status = self.error_status or 400
+        if self._progressed:
+            self._stalled_bytes = 0
+            return
+        self._stalled_bytes += len(data)
+        if self._stalled_bytes > self._limits.header_bytes:
+            self.error_status = self.error_status or 431
 
     def discard(self) -> None:
         """Drops what is held; bytes received later are ignored."""
@@ -156,6 +169,7 @@
     def on_message_begin(self) -> None:
         """Starts a new request."""
         self._reset()
+        self._progressed = True
         self.partial = True
 
     def on_url(self, url: bytes) -> None:
@@ -170,6 +184,7 @@
 
     def on_headers_complete(self) -> None:
         """Checks the declared body length and the `Expect` header."""
+        self._progressed = True
         length = _first_value(self._headers, b"content-length")
         if length.isdigit() and int(length) > self._limits.body_bytes:
             self._reject(413)
@@ -178,12 +193,14 @@
 
     def on_body(self, data: bytes) -> None:
         """Stores a part of the body."""
+        self._progressed = True
         self._body = _append(self._body, data)
         if len(self._body) > self._limits.body_bytes:
             self._reject(413)
 
     def on_message_complete(self) -> None:
         """Appends the complete request to `ready`."""
+        self._progressed = True
         self.partial = False
         self.wants_continue = False
         if self.error_status:
--- a/flamingolug/http1/tests/test_parse.py
+++ b/flamingolug/http1/tests/test_parse.py
@@ -66,6 +66,32 @@
                     self.assertEqual(methods, case.methods)
                     self.assertEqual(reader.error_status, case.error_status)
 
+    # Guards against requests without end that no limit applied to, since the
+    # parser reports a field only when it is complete.
+    def test_bytes_without_end_are_refused(self) -> None:
+        chunked = b"PUT / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+        cases = {
+            "empty lines": (b"", b"\r\n"),
+            "target": (b"GET /", b"a"),
+            "field name": (b"GET / HTTP/1.1\r\n", b"x"),
+            "field value": (b"GET / HTTP/1.1\r\nx: ", b"y"),
+            "fields": (b"GET / HTTP/1.1\r\n", b"x: y\r\n"),
+            "chunk extension": (chunked + b"2;", b"e"),
+            "trailer": (chunked + b"2\r\nok\r\n0\r\nx: ", b"y"),
+            "trailers": (chunked + b"2\r\nok\r\n0\r\n", b"x: y\r\n"),
+        }
+        for name, (begin, repeated) in cases.items():
+            for count in (1, 10, 100):
+                with self.subTest(name, count=count):
+                    reader = http1.RequestReader(_LIMITS)
+                    reader.feed(b"GET /a HTTP/1.1\r\n\r\n" + begin)
+                    fed_bytes = 0
+                    while not reader.error_status and fed_bytes < 4096:
+                        reader.feed(repeated * count)
+                        fed_bytes += len(repeated) * count
+                    self.assertEqual(reader.error_status, 431)
+                    self.assertEqual(len(reader.ready), 1)
+
     def test_connection_headers_are_not_forwarded(self) -> None:
         headers = [
             (b"connection", b"keep-alive, x-hop"),
