Keep trailers apart from the fields of the head

The parser reports the trailers of a chunked message like the fields of its head, and both readers stored them there. An answer whose seal came in a trailer counted as sealed and its trailers were passed on as header fields; a caller could add fields after the body. RFC 9110 (6.5.1) forbids the merge. Trailers are now counted and discarded.

Before: [response] AssertionError: b's' != b'' [request] AssertionError: b's' != b''

--- a/flamingolug/http1/_parse.py
+++ b/flamingolug/http1/_parse.py
@@ -178,13 +178,15 @@
         self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header field."""
+        """Stores a header field; trailers are discarded."""
         self._count_head_bytes(len(name) + len(value) + 4)
-        self._headers.append((name.lower(), value))
+        if not self._in_body:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Checks the declared body length and the `Expect` header."""
         self._progressed = True
+        self._in_body = True
         length = _first_value(self._headers, b"content-length")
         if length.isdigit() and int(length) > self._limits.body_bytes:
             self._reject(413)
@@ -233,6 +235,7 @@
         self._headers: Headers = []
         self._body = b""
         self._head_bytes = 0
+        self._in_body = False
 
 
 class ResponseReader:
@@ -312,7 +315,9 @@
         self.partial = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header field."""
+        """Stores a header field; trailers are discarded."""
+        if self._in_body:
+            return
         self._headers.append((name.lower(), value))
         if len(self._headers) > MAX_RESPONSE_FIELDS:
             self.excess = "too many header fields"
--- a/flamingolug/http1/tests/test_parse.py
+++ b/flamingolug/http1/tests/test_parse.py
@@ -1,6 +1,7 @@
 """Parsing of requests and responses."""
 
 import unittest
+from typing import Any
 from typing import NamedTuple
 
 from flamingolug import http1
@@ -164,3 +165,25 @@
         response = reader.ready.popleft()
         self.assertEqual(response.body, b"")
         self.assertFalse(response.reusable)
+
+
+class TrailerTest(unittest.TestCase):
+    """Fields after a chunked body."""
+
+    # Guards against an answer whose seal came in a trailer and counted as a
+    # field of its head.
+    def test_trailers_are_no_header_fields(self) -> None:
+        message = (
+            b"transfer-encoding: chunked\r\n\r\n"
+            b"2\r\nok\r\n0\r\nx-response-seal: s\r\n\r\n"
+        )
+        cases: dict[str, tuple[Any, bytes]] = {
+            "response": (http1.ResponseReader(), b"HTTP/1.1 200 OK\r\n"),
+            "request": (http1.RequestReader(_LIMITS), b"PUT / HTTP/1.1\r\n"),
+        }
+        for name, (reader, begin) in cases.items():
+            with self.subTest(name):
+                reader.feed(begin + message)
+                received = reader.ready.popleft()
+                self.assertEqual(received.body, b"ok")
+                self.assertEqual(received.header(b"x-response-seal"), b"")
