Limit the head of answers to the demo node and its store client

The same class as in http1: the client of flamingolug/web limited only the body, so a head, a chunk extension or a trailer without end was held, and parsed, until the time-out of the call.

Before: [field], [fields], [chunk extension], [trailer]: BackendError: exchange (127.0.0.1:...): no whole answer within 2.000 s

--- a/flamingolug/web/_client.py
+++ b/flamingolug/web/_client.py
@@ -21,6 +21,9 @@
 from flamingolug import errors
 
 _READ_BYTES = 65_536
+#: Maximum number of bytes of a response that are no body. Chunk headers may
+#: take as much again as the body.
+MAX_HEAD_BYTES = 131_072
 CONNECT_TIMEOUT_S = 1.0
 #: Seconds for which an unused connection may stay in the pool.
 MAX_IDLE_S = 30.0
@@ -126,7 +129,8 @@
     Raises:
         BackendError: no complete response was received; `sent` is False only
             if no byte of the request was written.
-        BodyTooLargeError: the response body exceeds `max_body_bytes`.
+        BodyTooLargeError: the response exceeds `max_body_bytes` or
+            `MAX_HEAD_BYTES`.
     """
     request = _format_request(pool.peer, method, target, headers, body)
     timeout = gevent.Timeout(timeout_s)
@@ -194,10 +198,12 @@
 
     Raises:
         BackendError: the server closed the connection too early.
-        BodyTooLargeError: the body exceeds `max_body_bytes`.
+        BodyTooLargeError: the body exceeds `max_body_bytes`, or the rest of
+            the response exceeds `MAX_HEAD_BYTES`.
     """
     response = http_response.HTTPResponse(method, http_header.Headers)
     body = response._body_buffer
+    received = 0
     while not response.message_complete:
         data = conn.recv(_READ_BYTES)
         if not data:
@@ -207,7 +213,14 @@
                 peer=peer,
                 sent=True,
             )
+        received += len(data)
         response.feed(data)
+        if received > MAX_HEAD_BYTES + 2 * len(body):
+            raise errors.BodyTooLargeError(
+                f"response head or chunk headers pass {MAX_HEAD_BYTES} bytes",
+                step="read",
+                peer=peer,
+            )
         if len(body) > max_body_bytes:
             raise errors.BodyTooLargeError(
                 f"response body passes {max_body_bytes} bytes",
--- a/flamingolug/web/tests/test_web.py
+++ b/flamingolug/web/tests/test_web.py
@@ -49,10 +49,23 @@
     return [body]
 
 
+_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+#: Beginnings of responses, and bytes that follow them without end.
+_ENDLESS_RESPONSES = {
+    "field": (b"HTTP/1.1 200 OK\r\nx: ", b"y"),
+    "fields": (b"HTTP/1.1 200 OK\r\n", b"x: y\r\n"),
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"z"),
+    "chunk extension": (_CHUNKED + b"2;", b"e"),
+    "trailer": (_CHUNKED + b"2\r\nok\r\n0\r\nx: ", b"y"),
+}
+
+
 class ClientTest(unittest.TestCase):
-    def _start_server(self, data: bytes) -> web.Pool:
+    def _start_server(self, data: bytes, repeated: bytes = b"") -> web.Pool:
         """Starts a server that sends `data` and closes each connection.
 
+        If there are bytes to repeat, it sends them until the client closes.
+
         Returns:
             A client pool for the server.
         """
@@ -62,8 +75,15 @@
             self.request_count += 1
             sock.recv(65_536)
             sock.sendall(data)
+            try:
+                while repeated:
+                    sock.sendall(repeated * (65_536 // len(repeated)))
+                    self.sent_bytes += 65_536
+            except OSError:
+                pass
             sock.close()
 
+        self.sent_bytes = 0
         self.request_count = 0
         listener = server.StreamServer((_HOST, 0), serve)
         listener.start()
@@ -87,6 +107,22 @@
                 self.assertTrue(caught.exception.sent)
                 self.assertEqual(self.request_count, 1)
 
+    # Guards against heads, interim responses, chunk extensions and trailers
+    # without end, to which no limit applied.
+    def test_response_without_end_is_refused_after_the_limit(self) -> None:
+        for name, (data, repeated) in _ENDLESS_RESPONSES.items():
+            with self.subTest(name):
+                pool = self._start_server(data, repeated)
+                with self.assertRaises(errors.BodyTooLargeError):
+                    web.send_request(
+                        pool,
+                        "POST",
+                        "/",
+                        timeout_s=_TIMEOUT_S / 5,
+                        max_body_bytes=_MAX_BODY_BYTES,
+                    )
+                self.assertLess(self.sent_bytes, 12 * 1024 * 1024)
+
     def test_connection_closed_by_server_is_not_reused(self) -> None:
         pool = self._start_server(
             b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
