Wait for the final answer after an interim one in the demo's client

The client of flamingolug/web returned an interim (1xx) answer as the answer to its request, and the final answer remained on the pooled connection, where the next request could read it. It now reads on until the final answer; the parser already starts anew with it.

--- a/flamingolug/web/_client.py
+++ b/flamingolug/web/_client.py
@@ -204,7 +204,7 @@
     response = http_response.HTTPResponse(method, http_header.Headers)
     body = response._body_buffer
     received = 0
-    while not response.message_complete:
+    while not response.message_complete or response.status_code < 200:
         data = conn.recv(_READ_BYTES)
         if not data:
             raise errors.BackendError(
--- a/flamingolug/web/tests/test_web.py
+++ b/flamingolug/web/tests/test_web.py
@@ -49,11 +49,13 @@
     return [body]
 
 
+_INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 _CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 #: Beginnings of responses, and bytes that follow them without end.
 _ENDLESS_RESPONSES = {
     "field": (b"HTTP/1.1 200 OK\r\nx: ", b"y"),
     "fields": (b"HTTP/1.1 200 OK\r\n", b"x: y\r\n"),
+    "interim": (b"", _INTERIM),
     "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"z"),
     "chunk extension": (_CHUNKED + b"2;", b"e"),
     "trailer": (_CHUNKED + b"2\r\nok\r\n0\r\nx: ", b"y"),
@@ -61,10 +63,13 @@
 
 
 class ClientTest(unittest.TestCase):
-    def _start_server(self, data: bytes, repeated: bytes = b"") -> web.Pool:
+    def _start_server(
+        self, data: bytes, repeated: bytes = b"", delayed: bytes = b""
+    ) -> web.Pool:
         """Starts a server that sends `data` and closes each connection.
 
-        If there are bytes to repeat, it sends them until the client closes.
+        Sends `delayed` a little later. If there are bytes to repeat, sends
+        them until the client closes.
 
         Returns:
             A client pool for the server.
@@ -75,6 +80,9 @@
             self.request_count += 1
             sock.recv(65_536)
             sock.sendall(data)
+            if delayed:
+                gevent.sleep(0.05)
+                sock.sendall(delayed)
             try:
                 while repeated:
                     sock.sendall(repeated * (65_536 // len(repeated)))
@@ -107,6 +115,23 @@
                 self.assertTrue(caught.exception.sent)
                 self.assertEqual(self.request_count, 1)
 
+    # Guards against an interim response that was taken for the final one.
+    def test_final_response_is_returned_after_interim_ones(self) -> None:
+        final = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        # In one piece, and with a pause before the final response.
+        cases = ((_INTERIM * 2 + final, b""), (_INTERIM, final))
+        for data, delayed in cases:
+            pool = self._start_server(data, delayed=delayed)
+            response = web.send_request(
+                pool,
+                "POST",
+                "/",
+                timeout_s=_TIMEOUT_S,
+                max_body_bytes=_MAX_BODY_BYTES,
+            )
+            self.assertEqual((response.status, response.body), (200, b"ok"))
+            self.assertEqual(response.header("link"), "")
+
     # Guards against heads, interim responses, chunk extensions and trailers
     # without end, to which no limit applied.
     def test_response_without_end_is_refused_after_the_limit(self) -> None:
