--- a/flamingolug/http1/_client.py
+++ b/flamingolug/http1/_client.py
@@ -151,11 +151,11 @@
                 raise self._receive_error(f"reset: {exc}") from exc
             if data:
                 self._received += len(data)
-                if self._memory is not None:
-                    self._memory.add(self, len(data))
-                if self._refused:
-                    raise self._excess_error(_NO_MEMORY)
                 reader.feed(data)
+                if self._memory is not None and not reader.ready:
+                    self._memory.add(self, len(data))
+                    if self._refused:
+                        raise self._excess_error(_NO_MEMORY)
                 continue
             reader.finish()
             if not reader.ready:
