--- a/flamingolug/http1/tests/test_client.py
+++ b/flamingolug/http1/tests/test_client.py
@@ -122,6 +122,17 @@
         self.assertEqual(memory.held_bytes, 2)
         small.close()
 
+    def test_bytes_after_a_response_are_not_read(self) -> None:
+        response = _HEAD + b"content-length: 2\r\n\r\nok"
+        server = EndlessServer(response, b"z")
+        self.addCleanup(server.stop)
+        conn = server.connect()
+        self.assertEqual(conn.receive(False, _MAX_BYTES).body, b"ok")
+        gevent.sleep(0.1)
+        self.assertFalse(conn.is_clean())
+        self.assertLess(server.sent_bytes, _KERNEL_BYTES)
+        conn.close()
+
     # Guards against closed connections whose parsers, which are in a reference
     # cycle, kept the bytes of a refused response until a collection.
     def test_closed_connection_frees_what_it_received(self) -> None:
