--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -34,8 +34,13 @@
 #: Fraction of the declared slots that is used: some backend servers slow down
 #: by a third when more than 95 % of the slots are taken.
 USABLE_SLOTS_FRACTION = 0.94
-#: Largest response that is accepted from the backend server, bytes.
+#: Most bytes that are accepted from the backend server for one call.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+#: Maximum number of answers to other requests that are skipped in one exchange.
+MAX_FOREIGN_ANSWERS = 16
+#: Fraction of the node's memory for incomplete responses of all running calls.
+#: A complete response is copied several times on its way to the caller.
+RESPONSE_MEMORY_FRACTION = 0.125
 #: Weight of a new sample in the smoothed failure ratio.
 FAILURE_SMOOTHING = 0.1
 #: Seconds for which a backend server gets no calls after a connection to it
@@ -98,6 +103,9 @@
         self.slots = _slots.Slots(1, deps.timers.now)
         self._deps = deps
         self._now = deps.timers.now
+        self._response_memory = http1.ResponseMemory(
+            int(deps.cfg.memory_bytes * RESPONSE_MEMORY_FRACTION)
+        )
         self._pool = self._new_pool()
         self._tickets: set[_slots.Ticket] = set()
         self._reported_at = 0.0
@@ -410,6 +418,7 @@
             conn, data, is_head_request, MAX_RESPONSE_BYTES
         )
         call_id = call.request_id.encode()
+        foreign_answers = 0
         while response.header(header_names.request_id) != call_id:
             answer_id = response.header(header_names.request_id)
             if (
@@ -420,6 +429,14 @@
                 # On a new connection, a refusal without id can only answer this
                 # request.
                 return response._replace(reusable=False)
+            foreign_answers += 1
+            if foreign_answers > MAX_FOREIGN_ANSWERS:
+                raise errors.ResponseTooLargeError(
+                    "too many answers to other requests",
+                    step="receive",
+                    peer=conn.peer,
+                    sent=True,
+                )
             # Not the answer to this request, for example that to an earlier
             # request of this connection; the next answer is read.
             telemetry.event(
@@ -442,17 +459,21 @@
         if ticket.cancelled:
             return _model.unknown("cancelled")
         self._update_failure_ratio(True)
+        reason = "lost"
+        if isinstance(exc, errors.ResponseTooLargeError):
+            reason = "response-too-large"
         telemetry.event(
             _LOGGER,
             "upstream.lost",
             level=logging.WARNING,
             id=ticket.call.request_id,
+            reason=reason,
             upstream=ticket.call.upstream_id,
             step=exc.step,
             peer=exc.peer,
             error=exc.message,
         )
-        return _model.unknown("lost")
+        return _model.unknown(reason)
 
     def _make_outcome(
         self,
@@ -506,11 +527,11 @@
     def _new_pool(self) -> _pool.Pool:
         cfg = self._deps.cfg
         return _pool.Pool(
-            cfg.app[0],
-            cfg.app[1],
+            cfg.app,
             cfg.identity.host,
             self._now,
             self._deps.metrics.count_connection,
+            self._response_memory,
         )
 
     def _check_backend(self) -> None:
--- a/flamingolug/http1/tests/test_parse.py
+++ b/flamingolug/http1/tests/test_parse.py
@@ -1,6 +1,7 @@
 """Parsing of requests and responses."""
 
 import unittest
+from typing import Any
 from typing import NamedTuple
 
 from flamingolug import http1
@@ -66,6 +67,32 @@
                     self.assertEqual(methods, case.methods)
                     self.assertEqual(reader.error_status, case.error_status)
 
+    # Guards against requests without end that no limit applied to, since the
+    # parser reports a field only when it is complete.
+    def test_bytes_without_end_are_refused(self) -> None:
+        chunked = b"PUT / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+        cases = {
+            "empty lines": (b"", b"\r\n"),
+            "target": (b"GET /", b"a"),
+            "field name": (b"GET / HTTP/1.1\r\n", b"x"),
+            "field value": (b"GET / HTTP/1.1\r\nx: ", b"y"),
+            "fields": (b"GET / HTTP/1.1\r\n", b"x: y\r\n"),
+            "chunk extension": (chunked + b"2;", b"e"),
+            "trailer": (chunked + b"2\r\nok\r\n0\r\nx: ", b"y"),
+            "trailers": (chunked + b"2\r\nok\r\n0\r\n", b"x: y\r\n"),
+        }
+        for name, (begin, repeated) in cases.items():
+            for count in (1, 10, 100):
+                with self.subTest(name, count=count):
+                    reader = http1.RequestReader(_LIMITS)
+                    reader.feed(b"GET /a HTTP/1.1\r\n\r\n" + begin)
+                    fed_bytes = 0
+                    while not reader.error_status and fed_bytes < 4096:
+                        reader.feed(repeated * count)
+                        fed_bytes += len(repeated) * count
+                    self.assertEqual(reader.error_status, 431)
+                    self.assertEqual(len(reader.ready), 1)
+
     def test_connection_headers_are_not_forwarded(self) -> None:
         headers = [
             (b"connection", b"keep-alive, x-hop"),
@@ -138,3 +165,25 @@
         response = reader.ready.popleft()
         self.assertEqual(response.body, b"")
         self.assertFalse(response.reusable)
+
+
+class TrailerTest(unittest.TestCase):
+    """Fields after a chunked body."""
+
+    # Guards against an answer whose seal came in a trailer and counted as a
+    # field of its head.
+    def test_trailers_are_no_header_fields(self) -> None:
+        message = (
+            b"transfer-encoding: chunked\r\n\r\n"
+            b"2\r\nok\r\n0\r\nx-response-seal: s\r\n\r\n"
+        )
+        cases: dict[str, tuple[Any, bytes]] = {
+            "response": (http1.ResponseReader(), b"HTTP/1.1 200 OK\r\n"),
+            "request": (http1.RequestReader(_LIMITS), b"PUT / HTTP/1.1\r\n"),
+        }
+        for name, (reader, begin) in cases.items():
+            with self.subTest(name):
+                reader.feed(begin + message)
+                received = reader.ready.popleft()
+                self.assertEqual(received.body, b"ok")
+                self.assertEqual(received.header(b"x-response-seal"), b"")
