Do not reuse connections to an upstream that was replaced

A call could be sent on a connection to the previous upstream at the address, which refuses it or has gone.

Cause: a call that runs while its upstream is replaced returned its connection to the pool of the next upstream.

Change: a call returns it to the pool that it came from, which closes it if the upstream was replaced meanwhile.

Evidence: the test failed before with AssertionError: Lists differ: [1] != [2] (connections opened), and passes.

--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -369,8 +369,9 @@
         """Runs a call on the backend server."""
         call = ticket.call
         remaining_s = call.deadline - self._now()
+        pool = self._pool
         try:
-            conn = self._pool.acquire(call.idempotent, remaining_s)
+            conn = pool.acquire(call.idempotent, remaining_s)
         except errors.BackendError as exc:
             self._down_until = self._now() + CONNECT_RETRY_DELAY_S
             telemetry.failure(_LOGGER, "upstream.unreachable", exc)
@@ -393,7 +394,9 @@
             return _model.unknown("timeout")
         finally:
             timer.close()
-        return self._make_outcome(conn, call, response)
+        # The upstream, and with it the pool, may have been replaced meanwhile.
+        pool.release(conn, response)
+        return self._make_outcome(call, response)
 
     def _exchange(
         self, conn: http1.Connection, call: _model.Call, remaining_s: float
@@ -476,14 +479,10 @@
         return _model.unknown(reason)
 
     def _make_outcome(
-        self,
-        conn: http1.Connection,
-        call: _model.Call,
-        response: http1.Response,
+        self, call: _model.Call, response: http1.Response
     ) -> _model.Outcome:
         """Returns the outcome of a call that has a response."""
         header_names = self._deps.header_names
-        self._pool.release(conn, response)
         refused = bool(response.header(header_names.not_run))
         if refused:
             self._update_failure_ratio(True)
--- a/flamingolug/gateway/_pool.py
+++ b/flamingolug/gateway/_pool.py
@@ -47,6 +47,7 @@
         #: Each with the clock reading since which it is idle and the longest
         #: idle time, seconds.
         self._idle: list[tuple[http1.Connection, float, float]] = []
+        self._closed = False
 
     def acquire(self, idempotent: bool, timeout_s: float) -> http1.Connection:
         """Returns a connection for exclusive use.
@@ -77,6 +78,9 @@
     def release(self, conn: http1.Connection, response: http1.Response) -> None:
         """Puts a connection back for reuse, or closes it if not reusable."""
         max_idle_s = _idle_timeout_s(response.header(b"keep-alive"))
+        if self._closed:
+            conn.close()
+            return
         if not response.reusable or conn.closed or max_idle_s <= 0.0:
             conn.close()
             return
@@ -94,7 +98,8 @@
         self._idle = remaining
 
     def close(self) -> None:
-        """Closes every idle connection."""
+        """Closes idle connections now, and the others at their release."""
+        self._closed = True
         for conn, _, _ in self._idle:
             conn.close()
         self._idle = []
--- a/flamingolug/platform/tests/test_gate.py
+++ b/flamingolug/platform/tests/test_gate.py
@@ -7,6 +7,7 @@
 
 from flamingolug import http1
 from flamingolug.gateway import _frames
+from flamingolug.gateway import _metrics
 from flamingolug.gateway import _model
 from flamingolug.platform.tests import deployment
 from flamingolug_standins import documents
@@ -106,6 +107,24 @@
         self.assertEqual(result.body, b"body of id-1")
         self.assertEqual(self.shelf.server.executed_ids, ["id-1"])
 
+    # Guards against a call on a connection to an upstream that was replaced.
+    def test_connection_of_a_replaced_upstream_is_not_reused(self) -> None:
+        server = self.shelf.server
+        server.service_s = 0.3
+        self.send(self.make_call(1))
+        deployment.wait_until(lambda: server.running > 0, "call runs")
+        server.id += "-next"
+        server.start_time_ms += 1
+        server.sequence = 0
+        self.assertEqual(server.report(), 200)
+        self.wait_for_result(1)
+        self.send(self.make_call(2))
+        result = self.wait_for_result(2)
+        self.assertEqual(result.verdict, _model.Verdict.ANSWERED.value)
+        metrics = self.shelf.node.parts.get("gateway.metrics", _metrics.Metrics)
+        rows = metrics.counters.snapshot()[_metrics.CONNECTIONS]
+        self.assertEqual([row["value"] for row in rows], [2])
+
     def test_concurrent_calls_never_exceed_the_slots(self) -> None:
         self.shelf.server.service_s = 0.02
         numbers = range(1, 40)
