Free a partial request with the connection of its caller

Memory of a node grew with connections that ended within a request.

Cause: a reader and its parser refer to each other, so they are freed by a collection only, which a node runs rarely. Connections to backend servers discard their readers already.

Evidence: the test failed before with AssertionError: 3 != 0 and passes.

--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -144,7 +144,7 @@
     def run(self) -> None:
         """Serves the connection until it ends."""
         try:
-            reason, error = self._read()
+            self._abort(*self._read())
         except gevent.GreenletExit:
             self._abort("killed", "")
             raise
@@ -158,7 +158,8 @@
             )
             self._abort("crashed", repr(exc))
             raise
-        self._abort(reason, error)
+        finally:
+            self._reader.discard()
 
     def is_idle(self) -> bool:
         """Returns whether no request or response is in progress.
--- a/flamingolug/gateway/tests/test_entry_delivery.py
+++ b/flamingolug/gateway/tests/test_entry_delivery.py
@@ -1,5 +1,6 @@
 """Delivery of answers on a caller's connection when an answer fails."""
 
+import gc
 import types
 import unittest
 from collections.abc import Callable
@@ -33,6 +34,25 @@
     return _request_state.Answer(200, [(b"x-odd", cast(bytes, None))], b"1")
 
 
+def _make_entry(
+    handle: Callable[[_request_state.RequestState], _request_state.Answer],
+) -> _entry.Entry:
+    """Returns an entry whose requests are handled by a function."""
+    handler = types.SimpleNamespace(
+        stopping=False, stopping_since=None, handle=handle
+    )
+    return _entry.Entry(
+        _entry.Dependencies(
+            cast(Any, None),
+            cast(Any, types.SimpleNamespace(active=None)),
+            timing.GeventTimers(),
+            cast(Any, handler),
+            _metrics.Metrics(telemetry.Counters("n", "", 1.0)),
+            b"id",
+        )
+    )
+
+
 class FailedAnswerTest(unittest.TestCase):
     def _exchange(
         self, answer_second: Callable[[], _request_state.Answer]
@@ -46,21 +66,7 @@
                 return answer_second()
             return _request_state.Answer(200, [], state.request.target[1:])
 
-        entry = _entry.Entry(
-            _entry.Dependencies(
-                cast(Any, None),
-                cast(Any, types.SimpleNamespace(active=None)),
-                timing.GeventTimers(),
-                cast(
-                    Any,
-                    types.SimpleNamespace(
-                        stopping=False, stopping_since=None, handle=handle
-                    ),
-                ),
-                _metrics.Metrics(telemetry.Counters("n", "", 1.0)),
-                b"id",
-            )
-        )
+        entry = _make_entry(handle)
         listener = http1.listen("127.0.0.1", 0)
         caller = gevent_socket.create_connection(listener.getsockname())
         accepted, _ = listener.accept()
@@ -109,3 +115,33 @@
             break
         reader.feed(data)
     return [(each.status, each.body) for each in reader.ready]
+
+
+class MemoryTest(unittest.TestCase):
+    # Guards against partial requests that outlive their connections.
+    def test_partial_request_is_freed_with_its_connection(self) -> None:
+        entry = _make_entry(lambda state: _request_state.Answer(200, [], b""))
+        listener = http1.listen("127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        before = _count_readers()
+        for _ in range(3):
+            caller = gevent_socket.create_connection(listener.getsockname())
+            accepted, _ = listener.accept()
+            serving = gevent.spawn(entry.serve, accepted, ("test", 0))
+            caller.sendall(
+                b"PUT /x HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nabc"
+            )
+            caller.close()
+            serving.join(timeout=1.0)
+        del accepted, serving
+        self.assertEqual(_count_readers(), before)
+
+
+def _count_readers() -> int:
+    """Returns the number of readers of requests that exist."""
+    return sum(
+        isinstance(each, http1.RequestReader) for each in gc.get_objects()
+    )
