Deliver what a relay has read before the end of a connection

Seen: callers behind a relay lost answers that a node wrote just before it closed the connection.

Cause: a relay killed both directions as soon as one of them had ended, also the writer that still held the last data.

Ruled out: the node.

Change: a direction forwards what was read before its end, then the end itself; the other direction stays open until it ends too. After a loss on one side, what had been read before is still delivered. Blocked directions behave as before.

--- a/flamingolug_standins/relay_program.py
+++ b/flamingolug_standins/relay_program.py
@@ -91,7 +91,10 @@
                 gevent.spawn(self._copy, client, target_socket, number, False),
                 gevent.spawn(self._copy, target_socket, client, number, True),
             ]
-            gevent.joinall(tasks, count=1)
+            # A direction that ended in order leaves the other one open.
+            for task in gevent.iwait(tasks):
+                if not task.value:
+                    break
             gevent.killall(tasks)
             target_socket.close()
         except OSError:
@@ -106,43 +109,68 @@
 
     def _copy(
         self, source: Any, destination: Any, number: int, from_target: bool
-    ) -> None:
-        """Copies one direction; delayed chunks do not block reading."""
-        chunks: queue.Queue[tuple[float, bytes]] = queue.Queue()
+    ) -> bool:
+        """Copies one direction; delayed chunks do not block reading.
+
+        Returns:
+            Whether the source ended in order and everything that it had sent
+            was forwarded, together with its end. False if the connection is to
+            be closed.
+        """
+        chunks: queue.Queue[tuple[float, bytes | None]] = queue.Queue()
         writer = gevent.spawn(
             self._write, chunks, destination, number, from_target
         )
         try:
-            while True:
-                data = source.recv(_READ_BYTES)
-                if not data:
-                    return
+            data: bytes | None = b"-"
+            while data:
+                try:
+                    data = source.recv(_READ_BYTES)
+                except OSError:
+                    data = None
                 chunks.put((time.monotonic() + self._draw_delay_s(), data))
-        except OSError:
-            return
+            if self._is_blocked(number, from_target):
+                return False
+            # What arrived before the end is still delivered.
+            writer.join()
+            return bool(writer.value)
         finally:
             writer.kill()
 
     def _write(
         self,
-        chunks: "queue.Queue[tuple[float, bytes]]",
+        chunks: "queue.Queue[tuple[float, bytes | None]]",
         destination: Any,
         number: int,
         from_target: bool,
-    ) -> None:
-        """Writes each chunk to the destination once its delay has passed."""
+    ) -> bool:
+        """Writes each chunk to the destination once its delay has passed.
+
+        An empty chunk is the end of the source, None its loss.
+
+        Returns:
+            Whether the end was forwarded, False if the connection is lost.
+        """
         while True:
             send_at, data = chunks.get()
             gevent.sleep(max(send_at - time.monotonic(), 0.0))
-            is_cut = self.fault.cut or (from_target and self.fault.cut_back)
-            if number in self._silenced or is_cut:
+            if self._is_blocked(number, from_target):
                 event.Event().wait()
+            if data is None:
+                return False
             try:
+                if not data:
+                    destination.shutdown(socket.SHUT_WR)
+                    return True
                 destination.sendall(data)
             except OSError:
                 # The task that reads from this socket detects the closed
                 # connection.
-                return
+                return False
+
+    def _is_blocked(self, number: int, from_target: bool) -> bool:
+        is_cut = self.fault.cut or (from_target and self.fault.cut_back)
+        return is_cut or number in self._silenced
 
     def _draw_delay_s(self) -> float:
         fault = self.fault
