Find requests in the soak that are lost around planned work

Cause: the soak looked for interrupted requests only within a stop, and a fault of the instance at any moment of the stop excused all of them. Its callers sent one request at a time, read at once and never kept a stopping node's connection busy.

Change: - Callers that pipeline, that send without pause until the node closes, that read slowly and that have each connection closed; upstreams that make calls through their own node; answers of up to 64 KB. These callers connect without a relay and send a request again that stood behind a closing answer. - The invariant `lost`: a request whose connection ends without a complete answer, once it was passed on or later than 200 ms after it was sent, or that ran and is answered 502 or 504 by a stopping node at either end. A fault excuses it only from 3 s before the request to its end. `planned-stop` and the other invariants are unchanged, except that `planned-stop` leaves out a request sent behind another one that did not run. - Series: SIGTERM with further signals, at a start and in turn over the nodes, storms of SIGHUP and of configurations.

Evidence: cases of `lost` in test_soak, without processes.

--- a/flamingolug_bench/soak/_faults.py
+++ b/flamingolug_bench/soak/_faults.py
@@ -33,6 +33,25 @@
 ALL_INSTANCES = "*"
 
 
+#: One of this many seeds has a schedule of planned operations only.
+_PLANNED_ONLY_SEEDS = 3
+#: Mean interval between the starts of two planned operations in such a
+#: schedule, seconds.
+_PLANNED_MEAN_INTERVAL_S = 0.8
+#: Probability that a schedule with faults also has a series.
+_SERIES_RATIO = 0.5
+#: Intervals of the signals or versions of a series, seconds.
+_MIN_GAP_S, _MAX_GAP_S = 0.02, 0.3
+#: Intervals between the stops of a rolling restart, seconds; each is shorter
+#: than a stop.
+_MIN_ROLL_GAP_S, _MAX_ROLL_GAP_S = 0.3, 1.2
+#: Longest time from the start of a process to its stop in a series that stops
+#: starting nodes, seconds.
+_MAX_START_S = 1.5
+#: Instances that a rolling restart stops at most.
+_MAX_ROLLED = 12
+
+
 class ScheduledFault(NamedTuple):
     """One entry of the schedule."""
 
@@ -64,6 +83,10 @@
 
     upstream_id: str
     acknowledged_at: float
+    #: `Instance.start_count` of the node that acknowledged it.
+    start_count: int = 0
+    #: Whether the upstream deregistered without reporting a drain before.
+    deregistered: bool = False
 
 
 class NodeStop(NamedTuple):
@@ -101,6 +124,8 @@
     instance: _testbed.Instance
     duration_s: float
     run_log: RunLog
+    #: Random generator of this injection.
+    rng: random.Random
 
 
 _Injector = Callable[[FaultContext], None]
@@ -186,20 +211,45 @@
 
 
 def _terminate_node(context: FaultContext) -> None:
-    if context.instance.stop_requested or context.instance.has_exited():
+    _terminate(context, ())
+
+
+def _terminate_then_hang_up(context: FaultContext) -> None:
+    _terminate(context, (signal.SIGHUP,))
+
+
+def _terminate_repeatedly(context: FaultContext) -> None:
+    _terminate(context, (signal.SIGTERM, signal.SIGHUP))
+
+
+def _terminate(
+    context: FaultContext, further_signals: tuple[signal.Signals, ...]
+) -> None:
+    """Stops a node by SIGTERM and waits until it has exited.
+
+    Args:
+        context: target of the stop.
+        further_signals: signals to choose from during the stop.
+    """
+    instance = context.instance
+    if instance.stop_requested or instance.has_exited():
         return
-    started_at, start_count = time.monotonic(), context.instance.start_count
-    process = context.instance.process
+    started_at, start_count = time.monotonic(), instance.start_count
+    process = instance.process
     assert process is not None
-    context.instance.signal_node(signal.SIGTERM)
+    instance.signal_node(signal.SIGTERM)
     while process.poll() is None:
         if time.monotonic() - started_at > _testbed.GRACE_S:
-            context.instance.signal_node(signal.SIGKILL)
+            instance.signal_node(signal.SIGKILL)
             break
         gevent.sleep(0.05)
+        if further_signals:
+            gevent.sleep(context.rng.uniform(0.0, _MAX_GAP_S))
+        if further_signals and instance.process is process:
+            instance.signal_node(context.rng.choice(further_signals))
     context.run_log.stops.append(
         NodeStop(
-            context.instance.name,
+            instance.name,
             start_count,
             started_at,
             time.monotonic(),
@@ -208,10 +258,59 @@
     )
 
 
+def _terminate_at_start(context: FaultContext) -> None:
+    """Stops a node, and stops it again when it has just been started."""
+    instance = context.instance
+    start_count = instance.start_count
+    _terminate(context, ())
+    deadline = time.monotonic() + _testbed.GRACE_S
+    while instance.start_count == start_count or instance.has_exited():
+        if time.monotonic() > deadline:
+            return
+        gevent.sleep(0.02)
+    while not instance.handles_signals():
+        if time.monotonic() > deadline:
+            return
+        gevent.sleep(0.005)
+    gevent.sleep(context.rng.uniform(0.0, _MAX_START_S))
+    _terminate(context, ())
+
+
+def _terminate_in_turn(context: FaultContext) -> None:
+    """Stops the nodes one after another without waiting for each to exit."""
+    instances = context.testbed.instances
+    first = instances.index(context.instance)
+    tasks: list[gevent.Greenlet[..., None]] = []
+    for instance in (instances[first:] + instances[:first])[:_MAX_ROLLED]:
+        stop = _terminate_node
+        if context.rng.random() < 0.3:
+            stop = _terminate_then_hang_up
+        tasks.append(gevent.spawn(stop, context._replace(instance=instance)))
+        gevent.sleep(context.rng.uniform(_MIN_ROLL_GAP_S, _MAX_ROLL_GAP_S))
+    gevent.joinall(tasks, raise_error=True)
+
+
 def _send_hangup(context: FaultContext) -> None:
     context.instance.signal_node(signal.SIGHUP)
 
 
+def _send_hangups(context: FaultContext) -> None:
+    """Sends many SIGHUPs to a node, also while it starts or stops."""
+    instance = context.instance
+    ended_at = time.monotonic() + context.duration_s
+    while time.monotonic() < ended_at:
+        gevent.sleep(context.rng.uniform(_MIN_GAP_S, _MAX_GAP_S))
+        if instance.handles_signals():
+            instance.signal_node(signal.SIGHUP)
+
+
+def _publish_configurations(context: FaultContext) -> None:
+    ended_at = time.monotonic() + context.duration_s
+    while time.monotonic() < ended_at:
+        _publish_configuration(context)
+        gevent.sleep(context.rng.uniform(_MIN_GAP_S, _MAX_GAP_S))
+
+
 def _publish_configuration(context: FaultContext) -> None:
     context.testbed.publish_configuration()
     context.run_log.published_at[context.testbed.version] = time.monotonic()
@@ -262,7 +361,12 @@
             status = upstream.deregister()
         if status == 200:
             context.run_log.departures.append(
-                Departure(upstream.id, time.monotonic())
+                Departure(
+                    upstream.id,
+                    time.monotonic(),
+                    context.instance.start_count,
+                    deregistered=first_action == "leave",
+                )
             )
         gevent.sleep(_testbed.DRAIN_S + 0.5)
         if first_action == "draining":
@@ -282,6 +386,8 @@
     #: Whether the fault may affect requests at all instances, even if it is
     #: applied to one.
     affects_all: bool = False
+    #: Whether it consists of several operations.
+    series: bool = False
 
 
 _RelayFault = relay_program.Fault
@@ -294,6 +400,14 @@
     "node-term": FaultType(_terminate_node, planned=True),
     "node-hup": FaultType(_send_hangup, planned=True),
     "configure": FaultType(_publish_configuration, planned=True),
+    "term-hup": FaultType(_terminate_then_hang_up, planned=True, series=True),
+    "term-twice": FaultType(_terminate_repeatedly, planned=True, series=True),
+    "term-at-start": FaultType(_terminate_at_start, planned=True, series=True),
+    "term-rolling": FaultType(_terminate_in_turn, planned=True, series=True),
+    "hup-storm": FaultType(_send_hangups, planned=True, series=True),
+    "configure-storm": FaultType(
+        _publish_configurations, planned=True, series=True
+    ),
     "store-down": FaultType(
         _store_attribute_injector("down", True), affects_all=True
     ),
@@ -397,11 +511,16 @@
             later.
         instance_count: number of instances.
     """
+    if seed % _PLANNED_ONLY_SEEDS == 0:
+        return _make_planned_schedule(seed, duration_s, instance_count)
     rng = random.Random(seed)
+    single_types = sorted(
+        name for name, each in FAULT_TYPES.items() if not each.series
+    )
     schedule: list[ScheduledFault] = []
     start_s = WARMUP_S
     while start_s < duration_s:
-        fault_type = rng.choice(sorted(FAULT_TYPES))
+        fault_type = rng.choice(single_types)
         fault_duration_s = rng.uniform(_MIN_DURATION_S, _MAX_DURATION_S)
         index = rng.randrange(instance_count)
         schedule.append(
@@ -423,9 +542,61 @@
                 )
             )
         start_s += rng.expovariate(1.0 / _MEAN_INTERVAL_S)
+    # Series have a generator of their own, so that the faults of a seed do not
+    # depend on them.
+    series_rng = random.Random(f"{seed}/series")
+    if series_rng.random() < _SERIES_RATIO:
+        start_s = series_rng.uniform(WARMUP_S, max(duration_s, WARMUP_S))
+        fault_type = series_rng.choice(_series_types())
+        schedule.append(
+            _schedule_one(series_rng, start_s, fault_type, instance_count)
+        )
     return sorted(schedule)
 
 
+def _make_planned_schedule(
+    seed: int, duration_s: float, instance_count: int
+) -> list[ScheduledFault]:
+    """Returns a schedule of planned operations that overlap."""
+    rng = random.Random(f"{seed}/planned")
+    # More rolling restarts would leave no node that serves.
+    planned_types = sorted(
+        name
+        for name, each in FAULT_TYPES.items()
+        if each.planned and name != "term-rolling"
+    )
+    schedule: list[ScheduledFault] = []
+    # A rolling restart, during which the configuration changes.
+    for fault_type in ("term-rolling", "configure-storm"):
+        start_s = WARMUP_S + rng.uniform(0.0, 2.0)
+        schedule.append(_schedule_one(rng, start_s, fault_type, instance_count))
+    start_s = WARMUP_S
+    while start_s < duration_s:
+        schedule.append(
+            _schedule_one(
+                rng, start_s, rng.choice(planned_types), instance_count
+            )
+        )
+        start_s += rng.expovariate(1.0 / _PLANNED_MEAN_INTERVAL_S)
+    return sorted(schedule)
+
+
+def _series_types() -> list[str]:
+    return sorted(name for name, each in FAULT_TYPES.items() if each.series)
+
+
+def _schedule_one(
+    rng: random.Random, start_s: float, fault_type: str, instance_count: int
+) -> ScheduledFault:
+    duration_s = rng.uniform(_MIN_DURATION_S, _MAX_DURATION_S)
+    return ScheduledFault(
+        round(start_s, 2),
+        fault_type,
+        rng.randrange(instance_count),
+        round(duration_s, 2),
+    )
+
+
 def inject_all(
     testbed: _testbed.Testbed,
     schedule: list[ScheduledFault],
@@ -451,7 +622,13 @@
     instance = testbed.instances[scheduled.instance_index]
     injected_at = time.monotonic()
     fault_type.inject(
-        FaultContext(testbed, instance, scheduled.duration_s, run_log)
+        FaultContext(
+            testbed,
+            instance,
+            scheduled.duration_s,
+            run_log,
+            random.Random(str(scheduled)),
+        )
     )
     affected = ALL_INSTANCES if fault_type.affects_all else instance.name
     run_log.intervals.append(
--- a/flamingolug_bench/soak/_invariants.py
+++ b/flamingolug_bench/soak/_invariants.py
@@ -7,8 +7,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from flamingolug_bench.soak import _callers
 from flamingolug_bench.soak import _faults
+from flamingolug_bench.soak import _records
 from flamingolug_bench.soak import _testbed
 
 #: Seconds after the end of a fault from which time bounds apply again.
@@ -16,12 +16,21 @@
 #: A connection that a stopping node closes within this many seconds after the
 #: request was sent may have been closed before the node read the request.
 CLOSE_RACE_S = 0.2
+#: Seconds after the end of the grace period in which a stop is still checked.
+_STOP_MARGIN_S = 1.0
+#: A request that was sent later than this after SIGTERM must not be accepted
+#: if it may last longer than the grace period, seconds.
+_LATE_REQUEST_S = 3.0
+#: Last part of the grace period, in which requests still at work may be cut.
+_FINAL_GRACE_RATIO = 5.0 / 6.0
 #: Minimum fraction of the requests that must succeed after recovery.
 MIN_RECOVERED_RATIO = 0.95
 #: Seconds that the nodes have for recovery after the last fault has ended.
 RECOVERY_S = 6.0
 #: Statuses which guarantee that a request has not run and never will.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
+#: Statuses of a node in the place of an answer; upstreams do not send them.
+_OWN_FAILURE_STATUSES = (502, 504)
 #: Maximum time from the gate to the upstream for a request, seconds.
 _MAX_TRANSIT_S = 0.3
 
@@ -39,7 +48,7 @@
 class Observations(NamedTuple):
     """Everything that was recorded in a run."""
 
-    records: Sequence[_callers.RequestRecord]
+    records: Sequence[_records.RequestRecord]
     #: Requests that upstreams received, also those that they did not run.
     arrivals: Sequence[_testbed.Arrival]
     run_log: _faults.RunLog
@@ -59,6 +68,7 @@
     violations += _check_run_counts(observed, run_counts)
     violations += _check_drains(observed)
     violations += _check_planned_stops(observed, run_counts)
+    violations += _check_losses(observed)
     violations += _check_recovery(observed)
     return violations
 
@@ -84,7 +94,7 @@
             violations.append(
                 Violation("own-answer", record.request_id, "never ran")
             )
-        if record.status == _callers.TIMED_OUT and not was_disrupted(
+        if record.status == _records.TIMED_OUT and not was_disrupted(
             observed.run_log,
             record.instance,
             record.sent_at - SETTLE_S,
@@ -167,7 +177,10 @@
                 or record.sent_at > stop.ended_at
             ):
                 continue
-            if record.status not in (_callers.CLOSED_EARLY, _callers.TIMED_OUT):
+            if record.status not in (_records.CLOSED_EARLY, _records.TIMED_OUT):
+                continue
+            if record.behind and record.request_id not in run_counts:
+                # Such a request counts as not read.
                 continue
             outside_close_race = record.ended_at - record.sent_at > CLOSE_RACE_S
             if outside_close_race or record.request_id in run_counts:
@@ -177,6 +190,130 @@
     return violations
 
 
+def _check_losses(observed: Observations) -> list[Violation]:
+    """Checks that no accepted request is lost.
+
+    A request is lost if its connection ends without a complete response after
+    the request was passed on to an upstream or later than `CLOSE_RACE_S` after
+    it was sent, or if a node that stops, at either end, answers in the place of
+    an upstream that ran it.
+    """
+    arrivals: dict[str, list[_testbed.Arrival]] = {}
+    for arrival in observed.arrivals:
+        arrivals.setdefault(arrival.request_id, []).append(arrival)
+    violations: list[Violation] = []
+    for record in observed.records:
+        own_arrivals = arrivals.get(record.request_id, [])
+        loss = _describe_loss(observed.run_log, record, own_arrivals)
+        if not loss or _is_loss_excused(observed.run_log, record, own_arrivals):
+            continue
+        elapsed_s = record.ended_at - record.sent_at
+        nearest = _describe_planned_work(observed.run_log, record)
+        violations.append(
+            Violation(
+                "lost",
+                record.request_id,
+                f"{loss} after {elapsed_s:.3f} s, {record.route} at"
+                f" {record.instance}, {nearest}",
+            )
+        )
+    return violations
+
+
+def _describe_loss(
+    run_log: _faults.RunLog,
+    record: _records.RequestRecord,
+    arrivals: Sequence[_testbed.Arrival],
+) -> str:
+    """Returns how a request was lost, empty if it was not."""
+    if record.status in (_records.CLOSED_EARLY, _records.NOT_READ):
+        if arrivals:
+            return "partial answer" if record.partial else "passed on, cut"
+        if record.behind:
+            return ""
+        waited_s = record.ended_at - record.lag_s - record.sent_at
+        return "read, cut" if waited_s > CLOSE_RACE_S else ""
+    if record.status not in _OWN_FAILURE_STATUSES:
+        return ""
+    instances = {
+        instance_of(arrival.upstream_id)
+        for arrival in arrivals
+        if arrival.executed
+    }
+    for stop in run_log.stops:
+        is_entry = (stop.instance, stop.start_count) == (
+            record.instance,
+            record.start_count,
+        )
+        if not (instances and is_entry) and stop.instance not in instances:
+            continue
+        last_at = stop.started_at + _testbed.GRACE_S + _STOP_MARGIN_S
+        if stop.started_at <= record.ended_at <= last_at:
+            side = "entry" if is_entry else "gate"
+            return f"ran, answered {record.status} by a stopping {side}"
+    return ""
+
+
+def _is_loss_excused(
+    run_log: _faults.RunLog,
+    record: _records.RequestRecord,
+    arrivals: Sequence[_testbed.Arrival],
+) -> bool:
+    """Returns whether a request may end without the answer of its upstream."""
+    if record.ended_at - record.sent_at >= record.budget_s:
+        return True
+    if any(arrival.broke_off for arrival in arrivals):
+        return True
+    involved = {record.instance} | {
+        instance_of(arrival.upstream_id) for arrival in arrivals
+    }
+    if any(
+        was_disrupted(run_log, name, record.sent_at - SETTLE_S, record.ended_at)
+        for name in involved
+    ):
+        return True
+    for stop in run_log.stops:
+        if (stop.instance, stop.start_count) != (
+            record.instance,
+            record.start_count,
+        ):
+            continue
+        if record.sent_at > stop.started_at + _LATE_REQUEST_S:
+            continue
+        final_at = stop.started_at + _testbed.GRACE_S * _FINAL_GRACE_RATIO
+        if record.ended_at >= final_at and any(
+            arrival.finished_at is None or arrival.finished_at >= final_at
+            for arrival in arrivals
+        ):
+            return True
+    return False
+
+
+def _describe_planned_work(
+    run_log: _faults.RunLog, record: _records.RequestRecord
+) -> str:
+    """Returns the planned operations near the end of a request."""
+    parts = [
+        f"{stop.instance} SIGTERM {record.ended_at - stop.started_at:+.2f} s"
+        for stop in run_log.stops
+        if stop.started_at <= record.ended_at <= stop.ended_at + _STOP_MARGIN_S
+    ]
+    parts += [
+        f"{interval.instance} {interval.fault_type}"
+        for interval in run_log.intervals
+        if interval.planned
+        and interval.started_at <= record.ended_at
+        and interval.ended_at >= record.sent_at
+        and not interval.fault_type.startswith(("term", "node-term"))
+    ]
+    return "; ".join(parts) or "no planned work"
+
+
+def instance_of(upstream_id: str) -> str:
+    """Returns the name of the instance of an upstream."""
+    return upstream_id.removeprefix("i-").rpartition("-")[0]
+
+
 def _check_recovery(observed: Observations) -> list[Violation]:
     """Checks that enough requests succeed after the recovery time."""
     after_recovery = [
--- a/flamingolug_bench/soak/_run.py
+++ b/flamingolug_bench/soak/_run.py
@@ -11,6 +11,7 @@
 from flamingolug_bench.soak import _callers
 from flamingolug_bench.soak import _faults
 from flamingolug_bench.soak import _invariants
+from flamingolug_bench.soak import _records
 from flamingolug_bench.soak import _testbed
 
 DEFAULT_DURATION_S = 12.0
@@ -25,17 +26,22 @@
 _ACTIVATION_TIMEOUT_S = 2.0
 #: Seconds between two checks for nodes that have exited.
 _SUPERVISION_INTERVAL_S = 0.1
+#: Seconds between two probes of a node, up to a number of instances. Larger
+#: runs probe each node less often.
+_PROBE_INTERVAL_S, _FULL_PROBE_INSTANCES = 0.5, 12
 #: Maximum time until all nodes serve requests after the start, seconds; only a
 #: defect takes that long.
 _STARTUP_TIMEOUT_S = 60.0
 #: Printed names of outcomes without an HTTP status.
 _OUTCOME_NAMES = {
-    _callers.CLOSED_EARLY: "cut",
-    _callers.NO_CONNECTION: "no-connection",
-    _callers.TIMED_OUT: "silent",
+    _records.CLOSED_EARLY: "cut",
+    _records.NO_CONNECTION: "no-connection",
+    _records.TIMED_OUT: "silent",
+    _records.NOT_READ: "not-read",
+    _records.ABANDONED: "abandoned",
 }
-#: Maximum number of violations printed for one run.
-_MAX_PRINTED = 12
+#: Maximum number of violations of one invariant printed for one run.
+_MAX_PRINTED = 8
 
 
 class _Supervisor:
@@ -49,18 +55,17 @@
         self.calm = False
         self._testbed = testbed
         self._run_log = run_log
-        #: Time of the latest start of each node.
-        self._started_at: dict[str, float] = {}
         #: Latest configuration version found active, by instance name and start
         #: count.
         self._active_versions: dict[tuple[str, int], int] = {}
         self._probe_count = 0
-        self._tasks: list[gevent.Greenlet[..., None]] = [
-            gevent.spawn(self._restart_nodes)
-        ]
+        self._probe_interval_s = _PROBE_INTERVAL_S * max(
+            len(testbed.instances) / _FULL_PROBE_INSTANCES, 1.0
+        )
+        self._tasks: list[gevent.Greenlet[..., None]] = []
         for instance in testbed.instances:
-            self._started_at[instance.name] = time.monotonic()
             self._tasks += [
+                gevent.spawn(self._restart_node, instance),
                 gevent.spawn(self._send_reports, instance),
                 gevent.spawn(self._probe_configuration, instance),
             ]
@@ -83,30 +88,42 @@
         """Stops supervision."""
         gevent.killall(self._tasks)
 
-    def _restart_nodes(self) -> None:
-        """Restarts nodes that have exited; records unexpected exits."""
+    def _restart_node(self, instance: _testbed.Instance) -> None:
+        """Restarts a node that has exited; records unexpected exits."""
         while True:
             gevent.sleep(_SUPERVISION_INTERVAL_S)
-            for instance in self._testbed.instances:
-                if not instance.has_exited():
-                    continue
-                if not instance.stop_requested:
-                    self.violations.append(
-                        _invariants.Violation("runs-on", instance.name, "ended")
-                    )
-                gevent.sleep(_faults.RESTART_DELAY_S)
-                instance.start_node()
-                self._started_at[instance.name] = time.monotonic()
+            if not instance.has_exited():
+                continue
+            if not instance.stop_requested:
+                self.violations.append(
+                    _invariants.Violation("runs-on", instance.name, "ended")
+                )
+            gevent.sleep(_faults.RESTART_DELAY_S)
+            instance.start_node()
 
     def _send_reports(self, instance: _testbed.Instance) -> None:
         while True:
-            instance.upstream.report()
+            if not self._has_left(instance):
+                instance.upstream.report()
             gevent.sleep(_testbed.REPORT_INTERVAL_S)
 
+    def _has_left(self, instance: _testbed.Instance) -> bool:
+        """Returns whether the upstream has left for the current process.
+
+        An upstream that has deregistered does not report to another process.
+        The process that it deregistered from must ignore its later reports.
+        """
+        return any(
+            departure.deregistered
+            and departure.upstream_id == instance.upstream.id
+            and departure.start_count != instance.start_count
+            for departure in self._run_log.departures
+        )
+
     def _probe_configuration(self, instance: _testbed.Instance) -> None:
         """Checks repeatedly which configuration version a node applies."""
         while True:
-            gevent.sleep(0.5)
+            gevent.sleep(self._probe_interval_s)
             version = self._testbed.version
             published_at = self._run_log.published_at.get(version, 0.0)
             now = time.monotonic()
@@ -177,7 +194,7 @@
         """Returns whether a node must have activated a version by now."""
         due_at = max(
             published_at + _ACTIVATION_TIMEOUT_S,
-            self._started_at[instance.name] + _invariants.SETTLE_S,
+            instance.started_at + _invariants.SETTLE_S,
         )
         return now > due_at and not _invariants.was_disrupted(
             self._run_log, instance.name, now - _invariants.SETTLE_S, now
@@ -259,6 +276,8 @@
             for status, count in statuses.most_common()
         ),
         "faults": len(schedule),
+        # How late the event loop of the callers was at most.
+        "max_lag_ms": round(callers.clock.max_lag_s * 1000),
     }
 
 
@@ -294,7 +313,11 @@
     violations: list[_invariants.Violation], directory: pathlib.Path
 ) -> None:
     """Prints violations; removes settings and logs if there are none."""
-    for violation in violations[:_MAX_PRINTED]:
+    printed: collections.Counter[str] = collections.Counter()
+    for violation in violations:
+        printed[violation.invariant] += 1
+        if printed[violation.invariant] > _MAX_PRINTED:
+            continue
         print(
             f"broken promise={violation.invariant} subject={violation.subject}"
             f" detail={violation.detail!r}",
--- a/flamingolug_bench/soak/_testbed.py
+++ b/flamingolug_bench/soak/_testbed.py
@@ -6,7 +6,11 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 
+import gevent
+
+from flamingolug import errors
 from flamingolug import http1
 from flamingolug import platform
 from flamingolug_standins import documents
@@ -27,6 +31,14 @@
 #: Service time of an upstream, seconds; long enough for several requests to be
 #: in flight whenever a fault is injected.
 SERVICE_TIME_S = 0.03
+#: Slots of an upstream; enough for the callers that send without pause.
+SLOTS = 24
+#: Headers of a request that the upstream follows: milliseconds of further work,
+#: number of bytes added to the body of the response, and whether the upstream
+#: makes a call of its own.
+WORK_HEADER = b"x-soak-work-ms"
+BYTES_HEADER = b"x-soak-bytes"
+CALL_HEADER = b"x-soak-call"
 #: Interval between the status reports of an upstream, seconds.
 REPORT_INTERVAL_S = 1.0
 #: Ports; equal for all instances, which differ in their addresses.
@@ -39,6 +51,8 @@
     _STORE_PORT,
 ) = range(7100, 7106)
 _METRICS_PORT = 7110
+#: Number of networks that a run may choose from.
+_NETWORKS = 200
 
 _SETTINGS_TEMPLATE = """\
 NodeName = "{name}"
@@ -70,6 +84,10 @@
         request_id: identity of the request.
         non_idempotent: whether the request must not run twice.
         executed: whether the upstream ran the request.
+        finished_at: time at which the upstream had the response, None while it
+            is at work.
+        broke_off: whether the upstream closed the connection instead of
+            answering.
     """
 
     def __init__(
@@ -81,6 +99,13 @@
         self.request_id = req.header(b"x-attempt-id").decode()
         self.non_idempotent = req.target.startswith(b"/pay/")
         self.executed = False
+        self.finished_at: float | None = None
+        self.broke_off = False
+
+
+#: Makes a call for an upstream; gets the seconds left and returns whether the
+#: call was answered with success.
+NestedCall = Callable[[float], bool]
 
 
 class RecordingServer(sealing_server.SealingServer):
@@ -92,18 +117,46 @@
         address: tuple[str, int],
         control_address: tuple[str, int],
         arrivals: list[Arrival],
+        call: NestedCall,
     ) -> None:
-        """Starts listening; appends each request to `arrivals`."""
+        """Starts listening.
+
+        Args:
+            service: name of the service.
+            address: address to listen on.
+            control_address: where the node receives reports.
+            arrivals: each request received is appended.
+            call: makes the calls of the upstream.
+        """
         super().__init__(service, *address, control_address)
         self.service_s = SERVICE_TIME_S
+        self.slots = SLOTS
         self._arrivals = arrivals
+        self._call = call
 
     def _respond(self, req: http1.Request) -> bytes:
         arrival = Arrival(time.monotonic(), self.id, req)
         self._arrivals.append(arrival)
         expected_id = req.header(b"x-expected-instance").decode()
         arrival.executed = not self.refuse and expected_id in ("", self.id)
-        return super()._respond(req)
+        try:
+            return super()._respond(req)
+        except OSError:
+            arrival.broke_off = True
+            raise
+        finally:
+            arrival.finished_at = time.monotonic()
+
+    def _run(self, req: http1.Request) -> tuple[int, bytes]:
+        started_at = time.monotonic()
+        gevent.sleep(int(req.header(WORK_HEADER) or 0) / 1000.0)
+        status, body = super()._run(req)
+        if req.header(CALL_HEADER):
+            budget_s = int(req.header(b"x-deadline-ms") or 0) / 1000.0
+            left_s = budget_s - (time.monotonic() - started_at)
+            if not self._call(left_s):
+                status = 500
+        return status, body + b"." * int(req.header(BYTES_HEADER) or 0)
 
 
 class Instance:
@@ -120,6 +173,8 @@
         relay_host = f"{testbed.network}.1.{index + 1}"
         #: Address to which callers send requests, through a relay.
         self.outbound = (relay_host, _OUTBOUND_PORT)
+        #: Address of the same listener without a relay.
+        self.direct_outbound = (self.host, _OUTBOUND_PORT)
         #: Address to which the upstream sends reports, without a relay.
         self.control_address = (self.host, _CONTROL_PORT)
         upstream_address = (self.host, _UPSTREAM_PORT)
@@ -135,11 +190,15 @@
                 (relay_host, _STORE_PORT), testbed.store.address
             ),
         }
+        #: Makes the calls of the upstream; None until callers are started.
+        self.nested_call: NestedCall | None = None
         self.upstream_count = 0
         self.upstream = self.new_upstream()
         self.process: subprocess.Popen[bytes] | None = None
         #: Number of times that the node was started; identifies the process.
         self.start_count = 0
+        #: Time at which the current process was started.
+        self.started_at = 0.0
         #: Whether SIGTERM or SIGKILL was sent to the current process.
         self.stop_requested = False
         self._settings_path = testbed.directory / f"{self.name}.toml"
@@ -155,13 +214,18 @@
             (self.host, _UPSTREAM_PORT),
             self.control_address,
             self.testbed.arrivals,
+            self._call_for_upstream,
         )
         server.id = f"i-{self.name}-{self.upstream_count}"
         return server
 
+    def _call_for_upstream(self, left_s: float) -> bool:
+        return self.nested_call is None or self.nested_call(left_s)
+
     def start_node(self) -> None:
         """Starts the node process; its output is appended to its log file."""
         self.start_count += 1
+        self.started_at = time.monotonic()
         self.stop_requested = False
         with (self.testbed.directory / f"{self.name}.log").open("ab") as log:
             self.process = subprocess.Popen(
@@ -184,6 +248,26 @@
         """Returns whether the node process is not running."""
         return self.process is None or self.process.poll() is not None
 
+    def handles_signals(self) -> bool:
+        """Returns whether the node process has replaced the action of SIGHUP.
+
+        Until then the interpreter is starting, and signals end the process.
+        """
+        if self.process is None:
+            return False
+        path = pathlib.Path(f"/proc/{self.process.pid}/status")
+        try:
+            lines = path.read_text(encoding="utf-8").splitlines()
+        except OSError:
+            return False
+        for line in lines:
+            name, _, mask = line.partition(":")
+            if name not in ("SigIgn", "SigCgt"):
+                continue
+            if int(mask, 16) & (1 << (signal.SIGHUP - 1)):
+                return True
+        return False
+
     def set_fault(self, relay: str, fault: relay_program.Fault) -> None:
         """Sets the fault of one relay."""
         self.relays[relay].set_fault(fault)
@@ -226,6 +310,22 @@
     return relay
 
 
+def _start_store() -> tuple[str, leased_store.LeasedStore]:
+    """Starts the store in a network that no other run uses."""
+    for attempt in range(_NETWORKS):
+        network = f"127.{30 + (os.getpid() + attempt) % _NETWORKS}"
+        try:
+            return network, leased_store.LeasedStore(
+                f"{network}.3.1", _STORE_PORT
+            )
+        except OSError:
+            # The network is taken.
+            continue
+    raise errors.FlamingolugError(
+        "no free network", step="soak.start", peer="loopback"
+    )
+
+
 class Testbed:
     """Owns the store and all instances of a soak."""
 
@@ -239,18 +339,15 @@
             directory: where settings and logs are written.
             program: module that runs a node, and its arguments.
         """
-        #: First two octets of all addresses, in the loopback network; derived
-        #: from the process id, so that concurrent runs use different addresses.
-        self.network = f"127.{30 + os.getpid() % 200}"
+        #: First two octets of all addresses, in the loopback network;
+        #: concurrent runs use different ones.
+        self.network, self.store = _start_store()
         self.directory = directory
         self.program = program
         #: Requests that the upstreams received, in order.
         self.arrivals: list[Arrival] = []
         #: Latest configuration version.
         self.version = 0
-        self.store = leased_store.LeasedStore(
-            f"{self.network}.3.1", _STORE_PORT
-        )
         self.publish_configuration()
         self.instances = [Instance(index, self) for index in range(count)]
         for instance in self.instances:
--- a/flamingolug_standins/sealing_server.py
+++ b/flamingolug_standins/sealing_server.py
@@ -166,16 +166,16 @@
         self.executed_ids.append(request_id.decode())
         self.running += 1
         self.max_running = max(self.max_running, self.running)
-        gevent.sleep(self.service_s)
-        self.running -= 1
-        status = 500 if self.fail else 200
-        body = b"body of " + request_id
+        try:
+            status, body = self._run(req)
+        finally:
+            self.running -= 1
         response = http1.format_response(
             status,
             [
                 id_header,
                 (b"x-response-seal", b"seal-" + request_id),
-                (b"x-server-load", b"1,0,8"),
+                (b"x-server-load", f"1,0,{self.slots}".encode()),
             ],
             body,
             False,
@@ -183,3 +183,9 @@
         if self.rewrite_response is not None:
             return self.rewrite_response(req, response)
         return response
+
+    def _run(self, req: http1.Request) -> tuple[int, bytes]:
+        """Runs a request; returns the status and the body of its response."""
+        gevent.sleep(self.service_s)
+        status = 500 if self.fail else 200
+        return status, b"body of " + req.header(b"x-attempt-id")
