Add node variants whose stops lose requests

Purpose: show that the soak finds stops that lose accepted requests.

Change: three variants. `stop-at-once` cuts all requests on SIGTERM, `exit-unsent` does not wait for the requests of callers, `stop-fails` answers 502 after SIGTERM in the place of upstreams. A short run with `stop-at-once` is a test.

--- a/flamingolug_bench/soak/tests/test_soak.py
+++ b/flamingolug_bench/soak/tests/test_soak.py
@@ -15,6 +15,8 @@
 _SEED, _DURATION_S = 11, 6.0
 #: Seed of a short run with planned operations only.
 _PLANNED_SEED, _PLANNED_DURATION_S = 3, 10.0
+#: Duration of a run of nodes with a known defect, seconds.
+_VARIANT_DURATION_S = 4.0
 
 
 def _record(status: int = 200, **changes: object) -> _records.RequestRecord:
@@ -334,3 +336,15 @@
         )
         self.assertEqual(results["promises"], "-")
         self.assertNotEqual(results["requests"], 0)
+
+    # Guards against a soak that passes over requests lost by stops (LOST).
+    def test_stop_that_cuts_requests_is_found(self) -> None:
+        results = soak.run(
+            _PLANNED_SEED,
+            soak.SoakOptions(
+                _VARIANT_DURATION_S,
+                program=("flamingolug_bench.soak.variants", "stop-at-once"),
+            ),
+            quiet=True,
+        )
+        self.assertIn("lost", str(results["promises"]).split(","))
--- a/flamingolug_bench/soak/variants.py
+++ b/flamingolug_bench/soak/variants.py
@@ -14,11 +14,13 @@
 from flamingolug import gateway
 from flamingolug import http1
 from flamingolug.gateway import _configuration_watcher
+from flamingolug.gateway import _entry
 from flamingolug.gateway import _frames
 from flamingolug.gateway import _gate
 from flamingolug.gateway import _link
 from flamingolug.gateway import _model
 from flamingolug.gateway import _pool
+from flamingolug.gateway import _program
 from flamingolug.gateway import _request
 from flamingolug.gateway import _request_state
 from flamingolug.gateway import _routes
@@ -139,12 +141,48 @@
     setattr(_request.Handler, "_answer_unknown_outcome", answer_unknown_outcome)
 
 
+def _stop_at_once() -> None:
+    """Cuts all requests in progress on SIGTERM."""
+
+    def stop(self: _program.Node) -> None:
+        self.close()
+
+    setattr(_program.Node, "stop", stop)
+
+
+def _exit_with_unsent_answers() -> None:
+    """Ends a stop without waiting for the requests of callers."""
+    setattr(_entry.Entry, "busy", property(lambda self: False))
+
+
+def _fail_running_requests() -> None:
+    """Answers 502 after SIGTERM for requests that an upstream works on."""
+    original = _request.Handler.handle
+
+    def handle(
+        self: _request.Handler, state: _request_state.RequestState
+    ) -> _request_state.Answer:
+        answer = original(self, state)
+        if not self.stopping or answer.status >= 400:
+            return answer
+        return _request_state.Answer(
+            502,
+            [(b"x-attempt-id", state.request.header(b"x-attempt-id"))],
+            b"",
+        )
+
+    setattr(_request.Handler, "handle", handle)
+
+
 VARIANTS: dict[str, Callable[[], None]] = {
     "retry-unknown": _retry_unknown_outcomes,
     "ignore-drain": _ignore_leaving_upstreams,
     "accept-older": _activate_older_configurations,
     "pool-unread": _accept_foreign_responses,
     "refuse-falsely": _report_unknown_as_not_run,
+    "stop-at-once": _stop_at_once,
+    "exit-unsent": _exit_with_unsent_answers,
+    "stop-fails": _fail_running_requests,
 }
 
 
