Count the lag of the soak's own process in the limit of a closing race

Cause: callers and relays run in the process of the soak. While it does not run, a connection that the node has closed still looks open.

Ruled out: the nodes. Six of them do not close at the same instant, and the limit counts from the last byte sent, not from when the caller looks.

Change: a caller's record says by how much its end may have been observed late: the time since the loop has surely looked at the socket, and for callers behind a relay also the lag during the request.

--- a/flamingolug_bench/soak/_callers.py
+++ b/flamingolug_bench/soak/_callers.py
@@ -127,7 +127,11 @@
                 if use_new_connection or persistent is None
                 else persistent
             )
+            lag_before_s = self.clock.total_s()
             record, reusable = send_request(instance, conn, route, request_id)
+            # The relay on the way runs in this process too.
+            lag_s = self.clock.total_s() - lag_before_s
+            record = record._replace(lag_s=max(lag_s, self.clock.lag_s()))
             self.records.append(record)
             if conn is None:
                 continue
