Add callers to the soak that read an answer over seconds

Cause (shown with a plain server on `http1.Stream`, a trial): a caller with a small receive buffer that reads 4 KB every 0.2 or 0.3 s is reset 3.2 to 3.5 s after the window first closed (ETIMEDOUT at the server, TCP_USER_TIMEOUT 3 s), although it keeps reading. With 8 KB every 0.04 s it is not. The soak had no caller that reads one answer for that long.

Change: callers `trickling`, which read 64 KB in about four seconds and never pause longer than 0.25 s, on a route with a time-out of 8 s.

--- a/flamingolug_bench/soak/_callers.py
+++ b/flamingolug_bench/soak/_callers.py
@@ -58,6 +58,14 @@
         min_padding_bytes=20_000,
         mean_pause_s=0.05,
     ),
+    # Takes about four seconds for an answer, always with some progress.
+    "trickling": CallerKind(
+        1,
+        ("bulk",),
+        64_000,
+        read_plan=_connections.ReadPlan(4_096, 0.25, 4_096),
+        min_padding_bytes=64_000,
+    ),
     "closing": CallerKind(
         1, ("read", "pay", "home"), 16_000, close=True, mean_pause_s=0.15
     ),
@@ -104,14 +112,12 @@
     def stop(self) -> None:
         """Waits until each caller has finished its request in progress.
 
-        Waits at most two seconds longer than a caller waits for a response.
+        Waits at most two seconds longer than any caller waits for a response.
         """
         self._stopping = True
         gevent.joinall(
             self._tasks,
-            timeout=_records.DEADLINE_MS / 1000.0
-            + _records.TIMEOUT_MARGIN_S
-            + 2,
+            timeout=_records.BULK_TIMEOUT_S + _records.TIMEOUT_MARGIN_S + 2,
         )
         self.clock.stop()
 
--- a/flamingolug_bench/soak/_connections.py
+++ b/flamingolug_bench/soak/_connections.py
@@ -247,7 +247,7 @@
             is_valid,
             behind=unanswered.behind,
             partial=is_partial,
-            budget_s=min(plan.deadline_s, _records.ROUTE_TIMEOUT_S),
+            budget_s=min(plan.deadline_s, _route_timeout_s(plan.route)),
             lag_s=self._clock.lag_s(),
         )
 
@@ -260,9 +260,12 @@
 ) -> RequestPlan:
     """Returns a random request on one of the routes, without an identity."""
     route = rng.choice(routes)
+    deadline_s = _records.DEADLINE_MS / 1000.0
+    if route == "bulk":
+        deadline_s = _records.BULK_TIMEOUT_S
     return RequestPlan(
         route,
-        _records.DEADLINE_MS / 1000.0,
+        deadline_s,
         work_ms=rng.choice((0, 40, 100, 200, 400)),
         padding_bytes=max(
             min_padding_bytes, rng.choice((0, 100, 5_000, max_padding_bytes))
@@ -271,6 +274,12 @@
     )
 
 
+def _route_timeout_s(route: str) -> float:
+    if route == "bulk":
+        return _records.BULK_TIMEOUT_S
+    return _records.ROUTE_TIMEOUT_S
+
+
 def _format(plan: RequestPlan) -> bytes:
     headers = [
         (b"host", documents.HOST.encode()),
--- a/flamingolug_bench/soak/_records.py
+++ b/flamingolug_bench/soak/_records.py
@@ -13,6 +13,8 @@
 TIMEOUT_MARGIN_S = 1.5
 #: `TimeoutMs` of the routes that `documents.make_route` returns, seconds.
 ROUTE_TIMEOUT_S = 1.5
+#: `TimeoutMs` of the route `bulk`, whose answers are read very slowly, seconds.
+BULK_TIMEOUT_S = 8.0
 
 
 class RequestRecord(NamedTuple):
--- a/flamingolug_bench/soak/_testbed.py
+++ b/flamingolug_bench/soak/_testbed.py
@@ -13,6 +13,7 @@
 from flamingolug import errors
 from flamingolug import http1
 from flamingolug import platform
+from flamingolug_bench.soak import _records
 from flamingolug_standins import documents
 from flamingolug_standins import leased_store
 from flamingolug_standins import relay_program
@@ -371,6 +372,12 @@
         make_route("read", "shelf"),
         make_route("pay", "till", Kind="non_idempotent", Priority=0),
         make_route("home", "front", Priority=2),
+        make_route(
+            "bulk",
+            "front",
+            Priority=2,
+            TimeoutMs=int(_records.BULK_TIMEOUT_S * 1000),
+        ),
         make_route(f"mark{version}", "shelf", Priority=3),
     ]
     return documents.make_document(version, routes)
