Leave a stopped node more time to exit before SIGKILL

The platform had to kill a node whose stop took the whole grace period.

Cause: a caller that reads its last response over seconds prolongs the stop to its end (node.stopped took_s=5.946 of 6.0 s); the interpreter needs more than the 0.05 s that were left.

Change: a stop ends 0.5 s before SIGKILL (0.4 s before), and peers get 0.2 s of that to close (0.3 s before).

--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -34,11 +34,11 @@
 #: checked every second, and callers switch to another node after two failed
 #: checks.
 ACCEPT_AFTER_STOP_S = 2.6
-#: Seconds reserved before SIGKILL for the final answers to interrupted requests
-#: and for closing the remaining connections.
-STOP_MARGIN_S = 0.4
+#: Seconds reserved before SIGKILL for the final answers to interrupted
+#: requests, the end of the remaining connections and the exit of the process.
+STOP_MARGIN_S = 0.5
 #: Seconds of that in which peers may close their connections.
-CLOSE_TIMEOUT_S = 0.3
+CLOSE_TIMEOUT_S = 0.2
 _POLL_INTERVAL_S = 0.05
 #: Signals that a node handles.
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
