Send 100 Continue only between responses

Callers saw corrupt bytes within a successful answer, or a reset in place of the last one, if they waited for `100 Continue` with their next request.

Cause: the interim response was sent whenever no answer was pending, and an answer is no longer pending while it is written. Behind a closing answer, the write failed and closed the connection, and the caller's body reset it.

Change: it is sent when no response is in progress and the connection is not closing, else after the response.

ContinueTest failed before with AssertionError (the answer cannot be parsed) AssertionError: Lists differ: [] != [300000] and passes.

--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -316,14 +316,28 @@
                 self._close_after_pending()
             if reader.error_status and not self.closing:
                 self._answer_plain(reader.error_status)
-            if reader.wants_continue and not self._pending:
-                reader.wants_continue = False
-                self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._send_continue()
             while len(self._pending) >= MAX_PIPELINED and not self._closed:
                 self._capacity_free.clear()
                 self._capacity_free.wait()
         return "closed-here", ""
 
+    def _send_continue(self) -> None:
+        """Sends `100 Continue` if the caller waits for it and it may be sent.
+
+        It must neither come between the bytes of a response nor follow the
+        response that closes the connection.
+        """
+        if not self._reader.wants_continue or self.busy or self.closing:
+            return
+        self._reader.wants_continue = False
+        self._writing = True
+        try:
+            self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
+        finally:
+            self._writing = False
+        self._flush()
+
     def _close_after_pending(self) -> None:
         if self._pending and not self.closing:
             self._pending[-1].close_after = True
@@ -425,6 +439,7 @@
         finally:
             self._unwritten = None
             self._writing = False
+        self._send_continue()
 
     def _send(self, data: bytes) -> None:
         try:
--- a/flamingolug/platform/tests/test_lost.py
+++ b/flamingolug/platform/tests/test_lost.py
@@ -21,6 +21,7 @@
 from flamingolug.gateway import _link
 from flamingolug.gateway import _model
 from flamingolug.gateway import _program
+from flamingolug.gateway import _request
 from flamingolug.platform.tests import deployment
 from flamingolug_standins import documents
 from flamingolug_standins import sealing_server
@@ -542,6 +543,61 @@
         self.assert_received(caller, _UNBUFFERED_BYTES // 4)
 
 
+class ContinueTest(_LostTest):
+    """Callers that wait for `100 Continue` behind an answer."""
+
+    # Guards against an interim response within the body of an answer.
+    def test_interim_response_does_not_come_within_an_answer(self) -> None:
+        self.shelf.server.rewrite_response = _enlarge(_UNBUFFERED_BYTES)
+        caller = self.connect(self.shelf.settings.outbound, _SMALL_BUFFER_BYTES)
+        caller.send("e1")
+        deployment.wait_until(
+            lambda: len(self.shelf.server.executed_ids) == 1, "request ran"
+        )
+        gevent.sleep(0.2)
+        caller.send_bytes(_make_expecting_request("e2"))
+        gevent.sleep(0.2)
+        answers: list[http1.Response] = []
+        while not answers:
+            answers = caller.read(1 << 20)
+        self.assertEqual(answers[0].body, b"b" * _UNBUFFERED_BYTES)
+        caller.send_bytes(b"12345")
+        while len(caller.answers) < 2 and not caller.ended:
+            caller.read(1 << 20)
+        self.assert_received(caller, _UNBUFFERED_BYTES, _UNBUFFERED_BYTES)
+
+    # Guards against a last answer that an interim response resets.
+    def test_interim_response_does_not_follow_the_closing_answer(self) -> None:
+        self.shelf.server.rewrite_response = _enlarge(_BUFFERED_BYTES)
+        handler = self.shelf.node.parts.get("gateway.handler", _request.Handler)
+        handler.stopping = True
+        caller = self.connect(self.shelf.settings.outbound, _SMALL_BUFFER_BYTES)
+        caller.send("e1")
+        gevent.sleep(0.3)
+        caller.send_bytes(_make_expecting_request("e2"))
+        gevent.sleep(0.1)
+        caller.send_bytes(b"12345")
+        gevent.sleep(0.1)
+        caller.read_to_end()
+        self.assert_received(caller, _BUFFERED_BYTES)
+
+
+def _make_expecting_request(request_id: str) -> bytes:
+    """Returns the head of a request whose caller awaits `100 Continue`."""
+    return http1.format_request(
+        b"POST",
+        b"/read/x",
+        [
+            (b"host", documents.HOST.encode()),
+            (b"x-attempt-id", request_id.encode()),
+            (b"x-deadline-ms", b"3000"),
+            (b"expect", b"100-continue"),
+            (b"content-length", b"5"),
+        ],
+        b"",
+    ).replace(b"content-length: 0\r\n", b"")
+
+
 class PausingCallerTest(_LostTest):
     # Guards against the loss of a connection whose caller does not read.
     def test_caller_that_pauses_gets_its_whole_answer(self) -> None:
