Discard input behind the response that closes a connection

Cause: the reader went on parsing, and complete requests were kept, so that the log can name those that are not started.

Change: at most 64 KiB behind the closing request are parsed; what follows is read, so that it does not reset the connection, and discarded.

The body of a response is freed once its bytes are formatted, and what remains to be sent is not copied with each send: an answer was held twice while its caller read it.

--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -1,5 +1,6 @@
 """Connections of callers: reads requests and writes responses in order."""
 
+import functools
 import logging
 from collections import deque
 from collections.abc import Callable
@@ -24,6 +25,9 @@
 #: from it until some have been answered. One read may start more, since it
 #: takes up to `_READ_BYTES`.
 MAX_PIPELINED = 32
+#: Bytes behind the request whose response closes the connection that are still
+#: parsed, to log the requests in them. Further ones are read and discarded.
+MAX_BYTES_BEHIND = 65536
 #: Seconds between checks for idle and slow connections.
 SWEEP_INTERVAL_S = 0.5
 #: Maximum numbers of request ids in a log line and of characters of an id.
@@ -101,6 +105,9 @@
         #: Whether `drain` was called.
         self._draining = False
         self._reported = False
+        #: Bytes received behind the request whose response closes the
+        #: connection.
+        self._bytes_behind = 0
         self._capacity_free = event.Event()
         active = deps.watcher.active
         self.limits = active.cfg.limits if active else FIRST_LIMITS
@@ -309,6 +316,11 @@
             if not data:
                 return "caller-closed", ""
             self.active_at = self._deps.timers.now()
+            if self.closing:
+                # The requests behind the closing response are not served.
+                self._bytes_behind += len(data)
+                if self._bytes_behind > MAX_BYTES_BEHIND:
+                    continue
             reader.feed(data)
             while reader.ready and not self.closing:
                 self._start_request(reader.ready.popleft())
@@ -363,9 +375,9 @@
         except BaseException as exc:
             self._log_crash(state.request, exc)
             answer = _CRASHED_ANSWER
-        pending.render = lambda close: self._format(
-            state.request, answer, close
-        )
+        pending.render = functools.partial(self._format, state.request, answer)
+        # Only the pending answer refers to the body then.
+        del answer
         self._flush()
 
     def _format(
@@ -423,7 +435,10 @@
                     self.closing = True
                 self.active_at = self._deps.timers.now()
                 self._unwritten = pending
-                self._send(pending.render(close))
+                data = pending.render(close)
+                # Frees the body while the caller reads its copy.
+                pending.render = None
+                self._send(data)
                 self._unwritten = None
                 if not self._closed:
                     self._answered += 1
--- a/flamingolug/gateway/tests/test_entry.py
+++ b/flamingolug/gateway/tests/test_entry.py
@@ -297,6 +297,21 @@
             self.caller.count(_metrics.CUT_REQUESTS), {"not-started": 2}
         )
 
+    # Guards against memory that input behind the closing response fills.
+    def test_input_behind_the_closing_response_is_discarded(self) -> None:
+        caller = self.caller
+        caller.begin_stop()
+        caller.send("r1")
+        caller.answer(b"r1")
+        request = b"GET / HTTP/1.1\r\nid: r2\r\n\r\n"
+        for _ in range(20):
+            caller.stream.input.put(request * 1000)
+        for _ in range(5):
+            caller.settle()
+        count = len(caller.connection._reader.ready)
+        self.assertGreater(count, 0)
+        self.assertLess(count * len(request), 2 * _entry.MAX_BYTES_BEHIND)
+
     def test_connection_that_ends_idle_is_not_logged(self) -> None:
         def end(caller: _Caller) -> None:
             caller.send("r1")
--- a/flamingolug/http1/_stream.py
+++ b/flamingolug/http1/_stream.py
@@ -133,7 +133,7 @@
             except BlockingIOError:
                 continue
 
-    def send_now(self, data: bytes) -> int:
+    def send_now(self, data: bytes | memoryview) -> int:
         """Sends what fits the send buffer; returns the number of bytes sent.
 
         Raises:
@@ -165,6 +165,7 @@
                 no data for `stall_timeout_s`.
         """
         sent = self.send_now(data)
+        rest = memoryview(data)
         while sent < len(data):
             with gevent_timeout.Timeout(
                 stall_timeout_s, OSError(errno.ETIMEDOUT, "peer does not read")
@@ -172,7 +173,7 @@
                 self._wait_writable(stop_if_readable)
             if stop_if_readable and self.has_input():
                 return False
-            sent += self.send_now(data[sent:])
+            sent += self.send_now(rest[sent:])
         return True
 
     def has_input(self) -> bool:
