Free an offer when its outcome is known

An answer was held twice while its caller read it: the state of the request referred to the offer, and the offer to the response.

--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -274,6 +274,8 @@
         if state.cancelled:
             pending.abandon()
         outcome = self._wait_for_outcome(pending, routed)
+        # The offer refers to the response, which may take long to deliver.
+        state.finish_offer()
         if outcome.arrived:
             state.arrivals += 1
         return outcome
--- a/flamingolug/gateway/_request_state.py
+++ b/flamingolug/gateway/_request_state.py
@@ -53,6 +53,10 @@
             self.cancelled = True
             self.cancel_offer()
 
+    def finish_offer(self) -> None:
+        """Records that no offer is in progress."""
+        self.cancel_offer = _do_nothing
+
     def interrupt(self) -> None:
         """Cancels the request because the node ends; it is still answered."""
         self.interrupted = True
