Bound nested requests and the end of a stop by the grace period

Requests on nested routes were passed on to the last moment of a stopping node and interrupted there, and a stop with a caller that keeps its connection open ended 0.02 s before SIGKILL.

Cause: nested requests were exempt from the refusal of what may outlast the node, also after the interruption. The loops of the stop could each overshoot by 50 ms, and the exit of the interpreter comes on top.

Change: a nested request is accepted if three times its usual latency ends in time; once the node has interrupted its requests it accepts none. A stop ends 0.7 s before SIGKILL (0.5 s before), within the last sixth of the grace period.

--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -36,7 +36,7 @@
 ACCEPT_AFTER_STOP_S = 2.6
 #: Seconds reserved before SIGKILL for the final answers to interrupted
 #: requests, the end of the remaining connections and the exit of the process.
-STOP_MARGIN_S = 0.5
+STOP_MARGIN_S = 0.7
 #: Seconds of that in which peers may close their connections.
 CLOSE_TIMEOUT_S = 0.2
 _POLL_INTERVAL_S = 0.05
@@ -221,7 +221,7 @@
     entry.drain()
     handler.ends_at = deadline
     while timers.now() < deadline:
-        gevent.sleep(_POLL_INTERVAL_S)
+        gevent.sleep(min(_POLL_INTERVAL_S, deadline - timers.now()))
         if gate.busy:
             # Running requests of the backend server make their calls through
             # this node.
@@ -236,6 +236,8 @@
             break
     interrupted = entry.busy or gate.busy
     work = _work_in_progress(parts)
+    # Nothing that arrives from now on is passed on.
+    handler.ends_at = timers.now()
     entry.interrupt()
     listeners.close_all()
     _close_connections(parts, timers)
@@ -264,7 +266,7 @@
         peer_server.finish()
         if not (entry.has_connections or peer_server.has_connections):
             return
-        gevent.sleep(_POLL_INTERVAL_S)
+        gevent.sleep(min(_POLL_INTERVAL_S, deadline - timers.now()))
 
 
 def _work_in_progress(parts: kernel.Kernel) -> dict[str, int]:
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -36,6 +36,9 @@
 #: may answer right at its deadline, and the answer takes time to arrive.
 #: It is 0.02 s longer than `_gate.ANSWER_GRACE_S`.
 ANSWER_GRACE_S = 0.12
+#: Multiple of its usual latency that a nested request may take at the end of a
+#: stopping node.
+NESTED_LATENCY_FACTOR = 3.0
 #: Shortest remaining time that permits another offer, seconds.
 MIN_OFFER_S = 0.02
 #: Range of the Retry-After delay as fractions of the caller's remaining time.
@@ -177,7 +180,7 @@
     ) -> _request_state.Answer:
         """Offers the request to upstreams until it is answered or stopped."""
         nested = routed.route.name in self._nested_routes
-        if not nested and self._may_outlast_node(routed):
+        if self._may_outlast_node(routed, nested):
             return self._refuse(state, routed, "stopping")
         admission_controller = self._admission_controller_of(routed)
         if not nested and admission_controller.refuse(
@@ -224,9 +227,21 @@
             return self._answer_unknown_outcome(state, routed, reason)
         return self._refuse(state, routed, reason)
 
-    def _may_outlast_node(self, routed: _RoutedRequest) -> bool:
-        """Returns whether the node may end before the request's deadline."""
-        return self.ends_at is not None and routed.deadline > self.ends_at
+    def _may_outlast_node(self, routed: _RoutedRequest, nested: bool) -> bool:
+        """Returns whether the node may end before the request is answered.
+
+        Refusing a nested request fails the running request that made it, so
+        it is accepted if it usually ends in time.
+        """
+        if self.ends_at is None:
+            return False
+        answered_by = routed.deadline
+        if nested:
+            latency_s = self._deps.upstreams.typical_latency_s(routed.route)
+            answered_by = min(
+                answered_by, self._now() + NESTED_LATENCY_FACTOR * latency_s
+            )
+        return answered_by > self.ends_at
 
     def _offer(
         self,
