Correct two false findings of the soak

Seen: with nodes whose stops were changed in a trial, callers still reported "passed on, cut after 1.000 s"; and `exit` with code -15 came from signals that reached an interpreter before the program.

Cause: the time-out of opening a connection (1 s) stayed on the socket and ended reads that waited longer. A SIGTERM or SIGHUP before the first line of the launcher ends the process, and no program can prevent that.

Ruled out: that this explains the losses found before. They ended in the middle of an answer, and with the corrected soak they are found as before.

Change: the time-out is removed after the connection is open. SIGTERM and a single SIGHUP are sent once the launcher has changed the action of SIGHUP, as the series already did. A series that signals a stopping node does not pass the end of the grace period.

--- a/flamingolug_bench/soak/_connections.py
+++ b/flamingolug_bench/soak/_connections.py
@@ -133,6 +133,7 @@
                 )
             self._sock.settimeout(_CONNECT_TIMEOUT_S)
             self._sock.connect(instance.direct_outbound)
+            self._sock.settimeout(None)
         except OSError:
             self._sock.close()
             raise
--- a/flamingolug_bench/soak/_faults.py
+++ b/flamingolug_bench/soak/_faults.py
@@ -232,7 +232,7 @@
         further_signals: signals to choose from during the stop.
     """
     instance = context.instance
-    if instance.stop_requested or instance.has_exited():
+    if not _wait_until_running(instance) or instance.stop_requested:
         return
     started_at, start_count = time.monotonic(), instance.start_count
     process = instance.process
@@ -244,7 +244,9 @@
             break
         gevent.sleep(0.05)
         if further_signals:
-            gevent.sleep(context.rng.uniform(0.0, _MAX_GAP_S))
+            left_s = started_at + _testbed.GRACE_S - time.monotonic()
+            gap_s = context.rng.uniform(0.0, _MAX_GAP_S)
+            gevent.sleep(max(min(gap_s, left_s), 0.0))
         if further_signals and instance.process is process:
             instance.signal_node(context.rng.choice(further_signals))
     context.run_log.stops.append(
@@ -268,10 +270,6 @@
         if time.monotonic() > deadline:
             return
         gevent.sleep(0.02)
-    while not instance.handles_signals():
-        if time.monotonic() > deadline:
-            return
-        gevent.sleep(0.005)
     gevent.sleep(context.rng.uniform(0.0, _MAX_START_S))
     _terminate(context, ())
 
@@ -290,8 +288,22 @@
     gevent.joinall(tasks, raise_error=True)
 
 
+def _wait_until_running(instance: _testbed.Instance) -> bool:
+    """Waits while the interpreter of a node starts.
+
+    Returns:
+        Whether the node is running.
+    """
+    while not instance.has_exited():
+        if instance.handles_signals():
+            return True
+        gevent.sleep(0.005)
+    return False
+
+
 def _send_hangup(context: FaultContext) -> None:
-    context.instance.signal_node(signal.SIGHUP)
+    if _wait_until_running(context.instance):
+        context.instance.signal_node(signal.SIGHUP)
 
 
 def _send_hangups(context: FaultContext) -> None:
