--- a/flamingolug_bench/soak/_connections.py
+++ b/flamingolug_bench/soak/_connections.py
@@ -137,7 +137,6 @@
         except OSError:
             self._sock.close()
             raise
-        self._sock.settimeout(None)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         #: Process that accepts the connection.
         self._start_count = instance.start_count
