Let results wait for room on a link instead of closing it

Callers got 502 for calls that had run and were answered, if several large answers came from one node at once.

Cause: a link was closed as soon as more than 8 MiB were queued, whatever the peer did. The class is that of the slow callers: a peer that is slower than the node was taken for one that does not read.

Change: results wait until there is room; a call is not sent on a link without room and is offered elsewhere. A stop half-closes a link only when all its calls have their results, and counts a part of a frame that is about to be written.

Evidence: found in the review. The test (six answers of 2.5 MB) failed before with AssertionError: Lists differ: [10] != [2500000] and passes (12 tests with those of links and gate).

--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -40,8 +40,8 @@
 IDLE_RECEIVE_TIMEOUT_S = 4.5
 #: Seconds without a call after which a link is closed.
 MAX_IDLE_S = 30.0
-#: Bytes that may be queued for a peer that does not read. The link is closed
-#: when a further frame would exceed them.
+#: Queued bytes above which calls are not sent and results wait. A peer that
+#: does not read is detected by the time-outs of the connection.
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 #: Seconds after a failed connection attempt before the next one to that peer.
 RECONNECT_AFTER_S = 0.5
@@ -122,6 +122,8 @@
         self._buffered = 0
         #: Bytes taken from the buffer that the socket has not accepted.
         self._sending = 0
+        #: Set when there may be room again.
+        self._room = event.Event()
         #: Whether a flush is scheduled or in progress.
         self._flushing = False
         #: Whether `finish` was called.
@@ -138,6 +140,17 @@
         """Bytes that the socket has not accepted, 0 once closed."""
         return 0 if self.closed else self._buffered + self._sending
 
+    @property
+    def has_room(self) -> bool:
+        """Whether a call or a result may be queued."""
+        return self.queued_bytes <= MAX_BUFFERED_BYTES
+
+    def wait_for_room(self) -> None:
+        """Waits until a result may be queued or the connection is closed."""
+        while not self.has_room:
+            self._room.clear()
+            self._room.wait()
+
     def socket_queues(self) -> http1.Queued:
         """Returns the bytes in the buffers of the socket."""
         return self._stream.queued()
@@ -147,9 +160,6 @@
         if self.closed or self._finished:
             return False
         data = _frames.encode(frame)
-        if self._buffered + len(data) > MAX_BUFFERED_BYTES and self._buffered:
-            self.close()
-            return False
         self._buffer.append(data)
         self._buffered += len(data)
         if not self._flushing:
@@ -206,6 +216,7 @@
                 queued=self.queued_bytes,
             )
         self._stream.close()
+        self._room.set()
 
     def _drain_buffer(self) -> bytes:
         buffer, self._buffer = self._buffer, []
@@ -223,18 +234,19 @@
             self._fail(exc)
             return
         if sent < len(data):
+            self._sending = len(data) - sent
             gevent.spawn(self._send_rest, data[sent:])
             return
         self._flushing = False
 
     def _send_rest(self, data: bytes) -> None:
         """Sends data the socket did not accept, then frames queued since."""
-        self._buffered += len(data)
         try:
             while data:
                 self._stream.send_all(data)
                 data = self._drain_buffer()
                 self._sending = len(data)
+                self._room.set()
         except OSError as exc:
             self._fail(exc)
             return
@@ -304,7 +316,8 @@
             # The time-out starts with the first call that awaits a result.
             self.inactive_since = max(self.inactive_since, now)
         connection = self._connection
-        if connection is None:
+        # Checked before the frame is encoded, since that changes the encoder.
+        if connection is None or not connection.has_room:
             raise self._unreachable()
         self._last_number += 1
         pending = PendingCall(self._last_number)
--- a/flamingolug/gateway/_peer_server.py
+++ b/flamingolug/gateway/_peer_server.py
@@ -40,7 +40,10 @@
     def __init__(self, deps: Dependencies) -> None:
         """Creates a server without links."""
         self._deps = deps
-        self._connections: set[_link.FrameConnection] = set()
+        #: Open connections, each with its calls that have no result yet.
+        self._connections: dict[
+            _link.FrameConnection, dict[int, _slots.Ticket]
+        ] = {}
         self._status_due = False
 
     def serve(self, sock: gevent_socket.socket, peer: tuple[str, int]) -> None:
@@ -61,11 +64,11 @@
                 self._deps.link_deps.entries_revision(),
             )
         )
-        self._connections.add(connection)
+        tickets: dict[int, _slots.Ticket] = {}
+        self._connections[connection] = tickets
         self._send_status(connection)
         if self._deps.lacks_entries():
             connection.send(_frames.EntriesRequest(0))
-        tickets: dict[int, _slots.Ticket] = {}
         try:
             for frames in connection.read():
                 for frame in frames:
@@ -73,7 +76,7 @@
         except msgspec.DecodeError as exc:
             connection.log_unreadable(exc)
         finally:
-            self._connections.discard(connection)
+            del self._connections[connection]
             connection.close()
             for ticket in list(tickets.values()):
                 self._deps.gate.cancel(ticket)
@@ -89,9 +92,9 @@
         return self.queued_bytes() + self.socket_queues().unsent_bytes > 0
 
     def finish(self) -> None:
-        """Half-closes the links whose frames are written; peers close them."""
-        for connection in self._connections:
-            if not connection.queued_bytes:
+        """Half-closes links whose results are written; their peers close."""
+        for connection, tickets in self._connections.items():
+            if not (tickets or connection.queued_bytes):
                 connection.finish()
 
     def queued_bytes(self) -> int:
@@ -184,6 +187,8 @@
         frame: _frames.CallFrame,
     ) -> Callable[[_model.Outcome], None]:
         def reply(outcome: _model.Outcome) -> None:
+            if frame.number in tickets:
+                connection.wait_for_room()
             if tickets.pop(frame.number, None) is None:
                 return
             load = outcome.load
--- a/flamingolug/platform/tests/test_lost.py
+++ b/flamingolug/platform/tests/test_lost.py
@@ -684,6 +684,24 @@
         self.assertEqual(peer.read_result_bytes(), _BUFFERED_BYTES)
 
 
+class LargeResultsTest(_LostTest):
+    services = ("shelf", "front")
+
+    # Guards against a link that large results for a sound peer close.
+    def test_results_beyond_the_buffer_of_a_link_are_delivered(self) -> None:
+        front = self.deployment.instances[1]
+        size = 2_500_000
+        self.shelf.server.rewrite_response = _enlarge(size)
+        self.shelf.server.service_s = 0.3
+        callers = [self.connect(front.settings.outbound) for _ in range(6)]
+        for number, caller in enumerate(callers):
+            caller.send(f"large{number}")
+        for caller in callers:
+            while not caller.ended and not caller.answers:
+                caller.read(1 << 20)
+            self.assert_received(caller, size)
+
+
 class _PeerLink:
     """The calling side of a link that reads only on demand."""
 
