Test the bounds of a closing connection and the end of links

Three lines of the fixes were not guarded (review): the time-out of a lingering connection, the time-out of a write that makes no progress, and the half-close of links at a stop.

--- a/flamingolug/gateway/tests/test_entry_delivery.py
+++ b/flamingolug/gateway/tests/test_entry_delivery.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 from typing import cast
+from unittest import mock
 
 import gevent
 from gevent import socket as gevent_socket
@@ -117,6 +118,36 @@
     return [(each.status, each.body) for each in reader.ready]
 
 
+class LingerTest(unittest.TestCase):
+    # Guards against connections that a caller keeps open for ever.
+    def test_closing_connection_ends_after_the_idle_time_out(self) -> None:
+        cases = {"time-out passed": (0.1, False), "in time": (30.0, True)}
+        for name, (idle_timeout_s, is_open) in cases.items():
+            with self.subTest(name):
+                limits = _entry.FIRST_LIMITS._replace(
+                    idle_timeout_s=idle_timeout_s
+                )
+                with mock.patch.object(_entry, "FIRST_LIMITS", limits):
+                    entry = self._answer_and_close()
+                gevent.sleep(2 * _entry.SWEEP_INTERVAL_S)
+                self.assertEqual(entry.has_connections, is_open)
+
+    def _answer_and_close(self) -> _entry.Entry:
+        """Returns an entry whose caller has read its last answer."""
+        entry = _make_entry(lambda state: _request_state.Answer(200, [], b""))
+        entry.start()
+        listener = http1.listen("127.0.0.1", 0)
+        caller = gevent_socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+        listener.close()
+        serving = gevent.spawn(entry.serve, accepted, ("test", 0))
+        self.addCleanup(serving.join, 1.0)
+        self.addCleanup(caller.close)
+        caller.sendall(b"GET / HTTP/1.1\r\nconnection: close\r\n\r\n")
+        self.assertEqual(_read_answers(caller, 1), [(200, b"")])
+        return entry
+
+
 class MemoryTest(unittest.TestCase):
     # Guards against partial requests that outlive their connections.
     def test_partial_request_is_freed_with_its_connection(self) -> None:
--- a/flamingolug/http1/tests/test_stream.py
+++ b/flamingolug/http1/tests/test_stream.py
@@ -46,3 +46,40 @@
     def test_a_closed_stream_has_no_buffers(self) -> None:
         self.stream.close()
         self.assertEqual(self.stream.queued(), http1.Queued(0, 0))
+
+
+class StallTest(unittest.TestCase):
+    """Time-out of a write to a peer that reads slowly or not at all."""
+
+    # Guards against writers that wait for ever, and against slow readers
+    # that are taken for dead ones.
+    def test_only_a_peer_that_reads_nothing_ends_the_write(self) -> None:
+        for name, pause_s, is_sent in (
+            ("reads slowly", 0.05, True),
+            ("reads nothing", 60.0, False),
+        ):
+            with self.subTest(name):
+                self.assertEqual(self._send_to_reader(pause_s), is_sent)
+
+    def _send_to_reader(self, pause_s: float) -> bool:
+        """Returns whether all data is sent to a peer that pauses."""
+        listener = http1.listen("127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        peer = gevent_socket.create_connection(listener.getsockname())
+        self.addCleanup(peer.close)
+        stream = http1.Stream(listener.accept()[0], peer_may_pause=True)
+        self.addCleanup(stream.close)
+
+        def read() -> None:
+            while True:
+                gevent.sleep(pause_s)
+                peer.recv(1 << 20)
+
+        reader = gevent.spawn(read)
+        try:
+            with gevent.Timeout(10.0):
+                return stream.send_all(bytes(1 << 24), stall_timeout_s=0.5)
+        except TimeoutError:
+            return False
+        finally:
+            reader.kill()
--- a/flamingolug/platform/tests/test_gate.py
+++ b/flamingolug/platform/tests/test_gate.py
@@ -2,6 +2,7 @@
 
 import unittest
 from typing import NamedTuple
+from unittest import mock
 
 import gevent
 
@@ -9,6 +10,7 @@
 from flamingolug.gateway import _frames
 from flamingolug.gateway import _metrics
 from flamingolug.gateway import _model
+from flamingolug.gateway import _program
 from flamingolug.platform.tests import deployment
 from flamingolug_standins import documents
 
@@ -107,6 +109,17 @@
         self.assertEqual(result.body, b"body of id-1")
         self.assertEqual(self.shelf.server.executed_ids, ["id-1"])
 
+    # Guards against an exit that resets a link whose peer still reads.
+    def test_stopping_node_half_closes_its_links(self) -> None:
+        with mock.patch.object(_program, "ACCEPT_AFTER_STOP_S", 0.1):
+            stopping = gevent.spawn(self.shelf.node.stop)
+            with gevent.Timeout(3.0):
+                while self.stream.recv(65536):
+                    pass
+            self.assertFalse(stopping.ready())
+            self.stream.close()
+            stopping.join()
+
     # Guards against a call on a connection to an upstream that was replaced.
     def test_connection_of_a_replaced_upstream_is_not_reused(self) -> None:
         server = self.shelf.server
