End a starting node in the handler of SIGTERM

The platform had to kill a node that did not notice a stop during its start.

Cause: the handler raised an exception in whatever was being imported. In a finalizer it is dropped.

Change: the handler ends the process. The node does not listen yet and has nothing to finish.

The test of a finalizer failed before (timed out after 20 s) and passes.

--- a/flamingolug/launcher.py
+++ b/flamingolug/launcher.py
@@ -14,6 +14,7 @@
 """
 
 import importlib
+import os
 import signal
 import sys
 import types
@@ -32,10 +33,10 @@
 
 
 def _exit(number: int, frame: types.FrameType | None) -> None:
-    del frame
-    # A further signal must not interrupt the exit.
-    signal.signal(number, signal.SIG_IGN)
-    sys.exit(0)
+    del number, frame
+    # An exception could be lost in a finalizer, and the end of an interpreter
+    # with half-imported modules could crash.
+    os._exit(0)
 
 
 if __name__ == "__main__":
--- a/flamingolug/platform/tests/test_launcher.py
+++ b/flamingolug/platform/tests/test_launcher.py
@@ -27,6 +27,16 @@
 sys.stdin.readline()
 from flamingolug.platform.__main__ import main
 """
+#: Does so in a finalizer, which drops exceptions.
+_SLOW_FINALIZER = """\
+import sys
+class Slow:
+    def __del__(self):
+        print("importing", flush=True)
+        sys.stdin.readline()
+Slow()
+from flamingolug.platform.__main__ import main
+"""
 _LAUNCH = (
     "import sys; from flamingolug import launcher; "
     "launcher._PROGRAM = 'slow_program'; sys.exit(launcher.main())"
@@ -66,8 +76,13 @@
             with self.subTest(name):
                 self.assertEqual(self._signal_during_imports(signals), 0)
 
+    # Guards against a planned stop that a starting node does not notice.
+    def test_sigterm_in_a_finalizer_ends_the_node(self) -> None:
+        status = self._signal_during_imports((signal.SIGTERM,), _SLOW_FINALIZER)
+        self.assertEqual(status, 0)
+
     def _signal_during_imports(
-        self, signals: tuple[signal.Signals, ...]
+        self, signals: tuple[signal.Signals, ...], program: str = _SLOW_NODE
     ) -> int:
         """Returns the exit status of a node signalled during its imports."""
         with tempfile.TemporaryDirectory() as directory:
@@ -77,7 +92,7 @@
             settings.write_text(
                 _SETTINGS.format(host=f"127.{30 + os.getpid() % 200}.4.1")
             )
-            (pathlib.Path(directory) / "slow_program.py").write_text(_SLOW_NODE)
+            (pathlib.Path(directory) / "slow_program.py").write_text(program)
             with subprocess.Popen(
                 [sys.executable, "-c", _LAUNCH],
                 cwd=_ROOT,
