Use the load that a backend server reports with its responses

Cause: the header with the load was removed unread, so the gate guessed from hold times what the backend server states with each response. A call that a backend server never answers, because it cannot queue it or because it hangs, held a slot of the gate until its deadline, 2 to 5 s for work of 0.1 s.

Ruled out: ending a call by its age alone. A machine that is only slow or silent would lose its running work. A call counts as hung only while the reports say that the backend server neither runs nor queues it, and one answer to such a call ends the detection for that incarnation.

The slowness scales the measured hold time, so a wrong one cancels out. The slot of a hung call is freed; an idempotent one ends with an unknown outcome, its connection is closed. Ignored reports are counted by reason.

Evidence: the four tests of HangingUpstreamTest fail without the change AssertionError: 0 not greater than 2 (hung calls that ended early) AssertionError: 0 not greater than 30 (calls served meanwhile) AssertionError: Lists differ: ['id-4', 'id-5', ...] != [] and pass with it.

--- a/flamingolug/gateway/__init__.py
+++ b/flamingolug/gateway/__init__.py
@@ -15,6 +15,7 @@
 from flamingolug.gateway._program import Node
 from flamingolug.gateway._program import run
 from flamingolug.gateway._request_state import CallerHeaderNames
+from flamingolug.gateway._server_load import ServerLoad
 
 __all__ = [
     "CallerHeaderNames",
@@ -28,6 +29,7 @@
     "ReportDecoder",
     "RetryBounds",
     "Route",
+    "ServerLoad",
     "Service",
     "UpstreamHeaderNames",
     "UpstreamState",
--- a/flamingolug/gateway/_environment.py
+++ b/flamingolug/gateway/_environment.py
@@ -8,6 +8,7 @@
 from flamingolug.gateway import _gate
 from flamingolug.gateway import _model
 from flamingolug.gateway import _request_state
+from flamingolug.gateway import _server_load
 
 
 class Environment(NamedTuple):
@@ -26,6 +27,9 @@
     #: Decodes a stored configuration; raises ConfigurationError.
     decode_configuration: Callable[[bytes], _model.Configuration]
     report_decoder: _control_server.ReportDecoder
+    #: Decodes the load in a header of a backend server's response; returns None
+    #: if it is malformed.
+    decode_load: Callable[[bytes], _server_load.ServerLoad | None]
     upstream_header_names: _gate.UpstreamHeaderNames
     caller_header_names: _request_state.CallerHeaderNames
     #: Path of the readiness check.
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -21,6 +21,7 @@
 from flamingolug.gateway import _metrics
 from flamingolug.gateway import _model
 from flamingolug.gateway import _pool
+from flamingolug.gateway import _server_load
 from flamingolug.gateway import _slots
 
 _LOGGER = logging.getLogger(__name__)
@@ -49,6 +50,12 @@
 #: Seconds after the deadline of a call for which the answer of the backend
 #: server is still awaited, so that an answer sent at the deadline is delivered.
 ANSWER_GRACE_S = 0.1
+#: Age from which a call counts as hung if the backend server reports that it
+#: neither runs nor queues it: seconds, and multiple of the mean hold time.
+HUNG_AFTER_S = 0.5
+HUNG_HOLD_FACTOR = 6.0
+#: Further seconds after which an idempotent hung call is ended.
+HUNG_GRACE_S = 0.5
 #: States in the order in which one incarnation passes through them.
 _STATE_ORDER = {
     _model.UpstreamState.READY: 0,
@@ -72,6 +79,8 @@
     seal: bytes
     #: Present on an answer when the backend server did not run the request.
     not_run: bytes
+    #: Load that a backend server reports with an answer.
+    load: bytes
     #: Headers of an answer that are not passed on to callers.
     internal: frozenset[bytes]
 
@@ -81,6 +90,8 @@
 
     cfg: _model.GatewaySettings
     header_names: UpstreamHeaderNames
+    #: Decodes the value of the load header, None if it is malformed.
+    decode_load: Callable[[bytes], _server_load.ServerLoad | None]
     timers: timing.Timers
     metrics: _metrics.Metrics
     #: Sends the upstream's changed state to the linked nodes.
@@ -100,7 +111,10 @@
         self.report: _model.Report | None = None
         #: Whether the node is stopping and accepts no calls.
         self.stopping = False
-        self.slots = _slots.Slots(1, deps.timers.now)
+        self.server_load = _server_load.LoadTracker(deps.timers.now, 1)
+        self.slots = _slots.Slots(
+            1, deps.timers.now, lambda: self.server_load.slowness
+        )
         self._deps = deps
         self._now = deps.timers.now
         self._response_memory = http1.ResponseMemory(
@@ -115,6 +129,11 @@
         self._down_until = 0.0
         #: Smoothed fraction of calls that the backend server refused or failed.
         self._failure_ratio = 0.0
+        #: Calls sent to the backend server, oldest first, with the clock
+        #: reading at which they were sent.
+        self._exchanges: dict[_slots.Ticket, float] = {}
+        #: Whether a call has been answered that counted as hung.
+        self._hung_disproved = False
         #: Upstream that answered a call with status 421, empty for none.
         self._misdirected_id = ""
         self._origins = _call_origins.CallOrigins()
@@ -384,6 +403,7 @@
         timer = gevent.Timeout.start_new(
             remaining_s + ANSWER_GRACE_S, _ExchangeTimeout()
         )
+        self._exchanges[ticket] = self._now()
         try:
             response = self._exchange(conn, call, remaining_s)
         except errors.BackendError as exc:
@@ -394,10 +414,84 @@
             return _model.unknown("timeout")
         finally:
             timer.close()
+            self._exchanges.pop(ticket, None)
         # The upstream, and with it the pool, may have been replaced meanwhile.
         pool.release(conn, response)
+        if pool is self._pool:
+            self._record_load(ticket, response)
         return self._make_outcome(call, response)
 
+    def _record_load(
+        self, ticket: _slots.Ticket, response: http1.Response
+    ) -> None:
+        """Records the load that the backend server reports with a response."""
+        if ticket.detached and not self._hung_disproved:
+            # The reports omit calls that run.
+            self._hung_disproved = True
+            telemetry.event(
+                _LOGGER,
+                "upstream.hung_disproved",
+                level=logging.WARNING,
+                id=ticket.call.request_id,
+                upstream=ticket.call.upstream_id,
+                took_s=round(self._now() - ticket.started_at, 3),
+            )
+        value = response.header(self._deps.header_names.load)
+        if not value:
+            return
+        load = self._deps.decode_load(value)
+        reason = "malformed"
+        if load is not None:
+            reason = self.server_load.record(load, len(self._exchanges))
+        self._deps.metrics.count_load_report(reason)
+        if reason:
+            return
+        self._update_limit()
+        if self.server_load.unaccounted and not self._hung_disproved:
+            self._handle_hung_calls(self.server_load.unaccounted)
+
+    def _handle_hung_calls(self, count: int) -> None:
+        """Frees the slots of the oldest calls, and ends those that may repeat.
+
+        Args:
+            count: number of calls that the backend server does not account for.
+        """
+        now = self._now()
+        min_age_s = max(HUNG_AFTER_S, HUNG_HOLD_FACTOR * self.slots.hold_s)
+        oldest = list(self._exchanges.items())[: min(count, self.slots.limit)]
+        for ticket, sent_at in oldest:
+            age_s = now - sent_at
+            if age_s < min_age_s:
+                return
+            if not ticket.detached:
+                self.slots.detach(ticket)
+                self._log_hung(ticket, "detached", count)
+                continue
+            if not ticket.call.idempotent or age_s < min_age_s + HUNG_GRACE_S:
+                continue
+            if not ticket.hung:
+                ticket.hung = True
+                self._log_hung(ticket, "ended", count)
+                ticket.stop()
+
+    def _log_hung(
+        self, ticket: _slots.Ticket, result: str, unaccounted: int
+    ) -> None:
+        """Counts and logs what becomes of a call that the upstream lost."""
+        self._deps.metrics.counters.add(_metrics.HUNG_CALLS, result)
+        telemetry.event(
+            _LOGGER,
+            "gate.call_hung",
+            level=logging.WARNING,
+            id=ticket.call.request_id,
+            result=result,
+            upstream=ticket.call.upstream_id,
+            running=self.slots.running,
+            unaccounted=unaccounted,
+            hold_s=round(self.slots.hold_s, 4),
+            age_s=round(self._now() - ticket.started_at, 3),
+        )
+
     def _exchange(
         self, conn: http1.Connection, call: _model.Call, remaining_s: float
     ) -> http1.Response:
@@ -462,7 +556,7 @@
         if ticket.cancelled:
             return _model.unknown("cancelled")
         self._update_failure_ratio(True)
-        reason = "lost"
+        reason = "hung" if ticket.hung else "lost"
         if isinstance(exc, errors.ResponseTooLargeError):
             reason = "response-too-large"
         telemetry.event(
@@ -521,7 +615,15 @@
         self._down_until = 0.0
         self._failure_ratio = 0.0
         self._misdirected_id = ""
-        self.slots.limit = max(int(report.slots * USABLE_SLOTS_FRACTION), 1)
+        self._hung_disproved = False
+        self._exchanges = {}
+        self.server_load = _server_load.LoadTracker(self._now, report.slots)
+        self._update_limit()
+
+    def _update_limit(self) -> None:
+        """Sets the limit from the slots that are declared or reported."""
+        slots = self.server_load.slots
+        self.slots.limit = max(int(slots * USABLE_SLOTS_FRACTION), 1)
 
     def _new_pool(self) -> _pool.Pool:
         cfg = self._deps.cfg
@@ -536,6 +638,7 @@
     def _check_backend(self) -> None:
         """Closes idle connections and detects missing reports."""
         self._pool.trim()
+        self._update_limit()
         report = self.report
         if report is None or report.state is _model.UpstreamState.GONE:
             return
--- a/flamingolug/gateway/_metrics.py
+++ b/flamingolug/gateway/_metrics.py
@@ -9,6 +9,8 @@
 ANSWERS = "flamingolug.entry.answers"
 RETRIES = "flamingolug.entry.retries"
 REFUSALS = "flamingolug.entry.refusals"
+LOAD_REPORTS = "flamingolug.upstream.load_reports"
+HUNG_CALLS = "flamingolug.gate.calls.hung"
 CONNECTIONS = "flamingolug.upstream.connections.opened"
 STORE_CALLS = "flamingolug.store.calls"
 LINKS_LOST = "flamingolug.links.lost"
@@ -33,6 +35,8 @@
         counters.declare(RETRIES, "Calls sent once more", "reason")
         counters.declare(REFUSALS, "Requests refused", "reason", "rank")
         counters.declare(CONNECTIONS, "Connections opened to the upstream")
+        counters.declare(LOAD_REPORTS, "Load reports in responses", "result")
+        counters.declare(HUNG_CALLS, "Calls that the upstream lost", "result")
         counters.declare(STORE_CALLS, "Calls to the store", "operation")
         counters.declare(LINKS_LOST, "Links to nodes that broke", "reason")
         counters.declare(CUT_REQUESTS, "Requests without an answer", "reason")
@@ -52,6 +56,10 @@
         """Counts a connection opened to the upstream."""
         self.counters.add(CONNECTIONS)
 
+    def count_load_report(self, reason: str) -> None:
+        """Counts a load report, with the reason if it is ignored."""
+        self.counters.add(LOAD_REPORTS, reason or "used")
+
     def count_store_call(self, operation: str) -> None:
         """Counts a call to the store."""
         self.counters.add(STORE_CALLS, operation)
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -93,6 +93,7 @@
         _gate.Dependencies(
             _settings(parts),
             _environment_of(parts).upstream_header_names,
+            _environment_of(parts).decode_load,
             _timers(parts),
             _metrics_of(parts),
             lambda: parts.get(
--- a/flamingolug/gateway/_slots.py
+++ b/flamingolug/gateway/_slots.py
@@ -41,6 +41,11 @@
         self.waiting = False
         self.running = False
         self.cancelled = False
+        #: Whether the call runs without a slot, because the upstream neither
+        #: runs nor queues it.
+        self.detached = False
+        #: Whether the exchange was ended because the upstream lost the call.
+        self.hung = False
         self.started_at = 0.0
         #: Called when the wait ends: with True if the call starts, with False
         #: if it is refused.
@@ -65,18 +70,36 @@
 class Slots:
     """Limits the running calls of one upstream and queues the others."""
 
-    def __init__(self, limit: int, now: Callable[[], float]) -> None:
-        """Creates slots that are all free."""
+    def __init__(
+        self,
+        limit: int,
+        now: Callable[[], float],
+        slowness: Callable[[], float] = lambda: 1.0,
+    ) -> None:
+        """Creates slots that are all free.
+
+        Args:
+            limit: number of calls that may run at once.
+            now: clock, in seconds.
+            slowness: returns the factor by which calls take longer than usual
+                now.
+        """
         self.limit = limit
         self.running = 0
-        #: Mean time for which a call holds a slot, seconds.
-        self.hold_s = INITIAL_HOLD_S
+        #: Mean time for which a call holds a slot at a slowness of 1, seconds.
+        self.usual_hold_s = INITIAL_HOLD_S
         #: Number of waiting calls by rank.
         self.waiting_by_rank = [0] * REPORTED_RANKS
         self._now = now
+        self._slowness = slowness
         self._queue: list[_QueueEntry] = []
         self._sequence_numbers = itertools.count()
 
+    @property
+    def hold_s(self) -> float:
+        """Mean time for which a call that starts now holds a slot, seconds."""
+        return self.usual_hold_s * self._slowness()
+
     def try_start(self, ticket: Ticket) -> bool | None:
         """Starts, queues or refuses a call.
 
@@ -128,10 +151,20 @@
         """
         now = self._now()
         ticket.running = False
+        if ticket.detached:
+            return
         self.running -= 1
         if is_sample:
-            held_s = now - ticket.started_at
-            self.hold_s += (held_s - self.hold_s) * HOLD_SMOOTHING
+            usual_s = (now - ticket.started_at) / self._slowness()
+            self.usual_hold_s += (usual_s - self.usual_hold_s) * HOLD_SMOOTHING
+        self.start_queued_calls()
+
+    def detach(self, ticket: Ticket) -> None:
+        """Frees the slot of a call whose outcome is still awaited."""
+        if not ticket.running or ticket.detached:
+            return
+        ticket.detached = True
+        self.running -= 1
         self.start_queued_calls()
 
     def start_queued_calls(self) -> None:
--- a/flamingolug/gateway/_upstreams.py
+++ b/flamingolug/gateway/_upstreams.py
@@ -25,6 +25,7 @@
     "unreachable": 0.5,
     "link-lost": 1.0,
     "lost": 0.1,
+    "hung": 0.1,
     "response-too-large": 0.1,
 }
 #: Numbers of upstreams that are compared for a call: in the own availability
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -51,7 +51,7 @@
     def setUp(self) -> None:
         self.clock = Clock()
         self.slots = _slots.Slots(2, self.clock.now)
-        self.slots.hold_s = 0.1
+        self.slots.usual_hold_s = 0.1
         self.order: list[str] = []
 
     def offer(
--- a/flamingolug/platform/_environment.py
+++ b/flamingolug/platform/_environment.py
@@ -4,6 +4,7 @@
 from flamingolug.platform import _configuration
 from flamingolug.platform import _headers
 from flamingolug.platform import _reports
+from flamingolug.platform import _server_load
 from flamingolug.platform import _settings
 from flamingolug.platform import _store
 
@@ -26,6 +27,7 @@
         report_decoder=gateway.ReportDecoder(
             _reports.decode_report, _reports.decode_leave
         ),
+        decode_load=_server_load.decode_load,
         upstream_header_names=_headers.UPSTREAM_HEADER_NAMES,
         caller_header_names=_headers.CALLER_HEADER_NAMES,
         ready_path=_headers.READY_PATH,
--- a/flamingolug/platform/_headers.py
+++ b/flamingolug/platform/_headers.py
@@ -23,6 +23,7 @@
     # success without it is not delivered.
     seal=b"x-response-seal",
     not_run=_NOT_RUN,
+    load=_LOAD,
     # Removed from the response of the backend server. The node itself adds the
     # request id to the response to the caller.
     internal=frozenset((_LOAD, _ANSWERING_INSTANCE, _REQUEST_ID)),
--- a/flamingolug/platform/tests/test_gate.py
+++ b/flamingolug/platform/tests/test_gate.py
@@ -1,5 +1,6 @@
 """Behaviour of a node's gate as observed over a link."""
 
+import time
 import unittest
 from typing import NamedTuple
 from unittest import mock
@@ -23,8 +24,8 @@
     reason: str
 
 
-class GateTest(unittest.TestCase):
-    """Calls that run, are refused, or are cancelled before they run."""
+class _LinkTestCase(unittest.TestCase):
+    """A link to the node beside a backend server."""
 
     def setUp(self) -> None:
         self.deployment = deployment.Deployment(
@@ -76,6 +77,10 @@
                         return frame
                 self.frames += self.decoder.feed(self.stream.recv(65536))
 
+
+class GateTest(_LinkTestCase):
+    """Calls that run, are refused, or are cancelled before they run."""
+
     def test_misdirected_or_expired_call_does_not_run(self) -> None:
         cases = {
             "another upstream": Case("i-other", 1000, "not-here"),
@@ -173,3 +178,100 @@
                 pass
         response = deployment.send_request(self.shelf, "read", "after")
         self.assertEqual(response.status, 200)
+
+
+class HangingUpstreamTest(_LinkTestCase):
+    """An upstream that never answers what it cannot queue, or a part of all.
+
+    Pattern: detection of lost calls by the load that the upstream reports. A
+    call that the upstream neither runs nor queues occupies no slot, and is
+    ended early if it may be repeated.
+    """
+
+    #: Deadline of the calls, seconds.
+    DEADLINE_S = 10.0
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.server = self.shelf.server
+        self.server.service_s = 0.06
+        self.results: dict[int, _frames.ResultFrame] = {}
+        self.sent = 0
+
+    def run_load(self, duration_s: float, idempotent: bool) -> None:
+        """Keeps three slots busy, and collects the results of its calls."""
+        ends_at = time.monotonic() + duration_s
+        while time.monotonic() < ends_at:
+            self.sent += 1
+            self.send(
+                self.make_call(
+                    self.sent,
+                    remaining_ms=int(self.DEADLINE_S * 1000),
+                    wait_ms=int(self.DEADLINE_S * 1000),
+                    idempotent=idempotent,
+                )
+            )
+            gevent.sleep(0.02)
+            self.read_results()
+
+    def read_results(self) -> None:
+        """Reads the results that have arrived."""
+        while self.stream.has_input():
+            self.frames += self.decoder.feed(self.stream.recv(65536))
+        for frame in self.frames:
+            if isinstance(frame, _frames.ResultFrame):
+                self.results[frame.number] = frame
+        self.frames = []
+
+    def results_with(self, reason: str) -> list[_frames.ResultFrame]:
+        """Returns the results with a reason."""
+        return [each for each in self.results.values() if each.reason == reason]
+
+    def hang_every_tenth(self, req: http1.Request) -> bool:
+        number = int(req.header(b"x-attempt-id").rpartition(b"-")[2])
+        return number % 10 == 0
+
+    def test_reported_slots_below_the_declared_ones_limit_the_calls(
+        self,
+    ) -> None:
+        self.server.max_accepted = 3
+        self.server.service_s = 0.1
+        self.send(self.make_call(0))
+        self.wait_for_result(0)
+        self.run_load(1.0, False)
+        self.assertEqual(self.server.hung_ids, [])
+
+    def test_idempotent_hung_calls_end_early_with_an_unknown_outcome(
+        self,
+    ) -> None:
+        self.server.must_hang = self.hang_every_tenth
+        self.run_load(3.0, True)
+        hung = self.results_with("hung")
+        self.assertGreater(len(hung), 2)
+        verdicts = {each.verdict for each in hung}
+        self.assertEqual(verdicts, {_model.Verdict.UNKNOWN.value})
+        hung_numbers = {each.number for each in hung}
+        self.assertTrue(
+            hung_numbers
+            <= {int(each.rpartition("-")[2]) for each in self.server.hung_ids}
+        )
+
+    def test_slots_of_hung_calls_serve_other_calls(self) -> None:
+        """Calls that must not be repeated wait on, without a slot."""
+        self.server.must_hang = self.hang_every_tenth
+        self.run_load(2.0, False)
+        served_before = len(self.server.executed_ids)
+        self.run_load(1.0, False)
+        served = len(self.server.executed_ids) - served_before
+        # Two thirds of what is sent, less what hangs.
+        self.assertGreater(served, 30)
+        self.assertEqual(self.results_with("hung"), [])
+
+    def test_late_answer_of_a_hung_call_reaches_no_other_call(self) -> None:
+        self.server.must_hang = self.hang_every_tenth
+        self.server.late_answer_s = 2.0
+        self.run_load(3.0, True)
+        self.assertGreater(len(self.results_with("hung")), 0)
+        for number, result in self.results.items():
+            if result.status:
+                self.assertEqual(result.body, f"body of id-{number}".encode())
--- a/flamingolug_standins/sealing_server.py
+++ b/flamingolug_standins/sealing_server.py
@@ -37,6 +37,13 @@
         endless: beginning of an answer, and the bytes that follow it until the
             connection is closed; sent instead of the response to a request that
             ran. None sends responses.
+        max_accepted: requests beyond this number hang, which means they are
+            never answered, nor are later ones on their connection; also the
+            slots in responses. None for no limit.
+        must_hang: called with each request; returns whether it hangs.
+        late_answer_s: seconds after which a hung request is run and answered
+            after all, None for never.
+        hung_ids: identities of the requests that hung, in order.
         running: number of requests that are running.
         max_running: maximum number of requests that ran at once.
         slots: number of slots in the reports; not enforced.
@@ -71,6 +78,10 @@
             Callable[[http1.Request, bytes], bytes] | None
         ) = None
         self.endless: tuple[bytes, bytes] | None = None
+        self.max_accepted: int | None = None
+        self.must_hang: Callable[[http1.Request], bool] = lambda req: False
+        self.late_answer_s: float | None = None
+        self.hung_ids: list[str] = []
         self.running = 0
         self.max_running = 0
         self.slots = 8
@@ -149,7 +160,10 @@
                     return
                 reader.feed(data)
                 while reader.ready:
-                    response = self._respond(reader.ready.popleft())
+                    req = reader.ready.popleft()
+                    if self._is_full() or self.must_hang(req):
+                        self._hang(stream, req)
+                    response = self._respond(req)
                     if self.endless is not None:
                         _send_endlessly(stream, *self.endless)
                     stream.send_all(response)
@@ -158,6 +172,26 @@
         finally:
             stream.close()
 
+    def _is_full(self) -> bool:
+        """Returns whether no further request is accepted."""
+        return (
+            self.max_accepted is not None and self.running >= self.max_accepted
+        )
+
+    def _hang(self, stream: http1.Stream, req: http1.Request) -> None:
+        """Waits for the late answer, or for the end of the connection.
+
+        Raises:
+            OSError: the other side has closed the connection.
+        """
+        self.hung_ids.append(req.header(b"x-attempt-id").decode())
+        if self.late_answer_s is not None:
+            gevent.sleep(self.late_answer_s)
+            return
+        while stream.recv(65536):
+            pass
+        raise ConnectionResetError("closed by the other side")
+
     def _respond(self, req: http1.Request) -> bytes:
         self.received_requests.append(req)
         request_id = req.header(b"x-attempt-id")
@@ -178,12 +212,16 @@
             status, body = self._run(req)
         finally:
             self.running -= 1
+        slots = self.max_accepted or self.slots
         response = http1.format_response(
             status,
             [
                 id_header,
                 (b"x-response-seal", b"seal-" + request_id),
-                (b"x-server-load", f"1,0,{self.slots}".encode()),
+                (
+                    b"x-server-load",
+                    f"{self.running},0,{slots},100".encode(),
+                ),
             ],
             body,
             False,
