Refuse less urgent work first, also where only urgent work fails

Pressure regulated only kinds whose requests fail. With a long deadline slot-browse only became late, so it kept the queue in which run-reserve failed. Its own kind was then cut further for its failures, again and again, which made the admission oscillate.

Ruled out: the order at the gate. The nested calls of both kinds have the same rank, so only the entries can order them.

Change: load reports name the bottleneck. The kinds with the same bottleneck form a group: pressure regulates a kind if one of its group that is as urgent fails, and for as long as it is pressed after that. Failures decrease the least urgent kind of the group. Above a pressure of 1.5 failures are attributed to the queue and only the controller acts, faster the longer the queue. Samples are weighted by the time since the last one, since a node of a large fleet has few.

Evidence: simulated load of 1.6 times the capacity, half of it urgent with a time limit of 0.8 s.

--- a/flamingolug/gateway/_admission.py
+++ b/flamingolug/gateway/_admission.py
@@ -11,11 +11,14 @@
   one calls. For kinds with failures, a proportional-integral controller adjusts
   the admission probability to this pressure. It keeps a short queue in front of
   the overloaded service, so that its slots stay busy and calls do not time out
-  in the queue. Pressure does not affect a kind without failures. Of the kinds
-  that are regulated at one node, the less urgent decrease first and increase
-  last.
+  in the queue. The report names that service, the bottleneck. Of the kinds with
+  the same bottleneck, the less urgent decrease first and increase last, whether
+  they fail themselves or not: a kind with a long deadline only becomes late in
+  a queue in which a more urgent one with a short deadline fails. Pressure does
+  not affect kinds while none of this group fails that is as urgent.
 - When too many requests fail, the probability is multiplied by the fraction
-  that succeeded, at most once in each `SETTLING_TIME_S`.
+  that succeeded, at most once in each `SETTLING_TIME_S`. Under pressure this
+  applies to the least urgent kind of the group that is still admitted.
 - The probability then grows slowly at first and faster later. So it stays near
   what can be served and is back at 1 at most about four seconds after failures
   end, or later if a high pressure first has to decay. Requests that are refused
@@ -58,14 +61,16 @@
 OUTCOME_DECAY = 0.85
 #: Failures allowed beyond the tolerated fraction, since chance explains them.
 FAILURE_ALLOWANCE = 1.5
-#: Weight of a new outcome in the smoothed failure ratio, an average over about
-#: the last fifty.
+#: Lowest weight of a new outcome in the smoothed failure ratio, and the time
+#: constant, seconds, of the smoothing where outcomes are rare: in a large
+#: deployment a node has one in a second or fewer.
 FAILURE_SMOOTHING = 0.02
+FAILURE_TIME_CONSTANT_S = 5.0
 #: Failure ratio above which a kind is regulated by the pressure of the called
 #: services; faults of single servers fail about one request in a hundred.
 MIN_FAILURE_RATIO = 0.03
-#: Weight of a new report in the smoothed pressure.
-PRESSURE_SMOOTHING = 0.2
+#: Time constant of the smoothed pressure, seconds.
+PRESSURE_TIME_CONSTANT_S = 0.15
 #: Factor by which the pressure decays over a window without a report. At a node
 #: with few requests the pressure halves in 2.4 seconds, and the probability
 #: grows again, so that new requests measure it.
@@ -76,6 +81,9 @@
 TARGET_PRESSURE = 1.1
 #: Pressure above which the probability is regulated; below it, slots are free.
 MIN_REGULATED_PRESSURE = 0.9
+#: Pressure above which failures are attributed to the queue, so that the
+#: controller reacts to the pressure alone.
+QUEUEING_PRESSURE = 1.5
 #: Change of the probability's logarithm in a window for each unit by which the
 #: pressure has risen, and for each unit by which it exceeds its target. A
 #: change takes effect after half a second to a second; with twice the integral
@@ -126,10 +134,13 @@
         self._success_count = 0.0
         self._failure_count = 0.0
         self._pressure = 0.0
+        #: Service with that pressure, empty for none so far.
+        self._bottleneck = ""
         #: Whether a pressure was reported in this window.
         self._pressure_reported = False
         #: Pressure at the end of the previous window.
         self._previous_pressure = 0.0
+        self._pressure_recorded_at = self._outcome_recorded_at = now()
         #: Smoothed fraction of outcomes that failed.
         self._failure_ratio = 0.0
 
@@ -159,13 +170,30 @@
         else:
             self._failure_count += 1.0
         sample = 0.0 if succeeded else 1.0
-        self._failure_ratio += (
-            sample - self._failure_ratio
-        ) * FAILURE_SMOOTHING
+        now = self._now()
+        weight = _weight_after(
+            now - self._outcome_recorded_at, FAILURE_TIME_CONSTANT_S
+        )
+        self._outcome_recorded_at = now
+        self._failure_ratio += (sample - self._failure_ratio) * max(
+            weight, FAILURE_SMOOTHING
+        )
 
-    def record_pressure(self, pressure: float) -> None:
-        """Records the highest pressure in the call chain of a request."""
-        self._pressure += (pressure - self._pressure) * PRESSURE_SMOOTHING
+    def record_pressure(self, pressure: float, bottleneck: str = "") -> None:
+        """Records the highest pressure in the call chain of a request.
+
+        Args:
+            pressure: the pressure.
+            bottleneck: service that has it, empty if the pressure is low.
+        """
+        if bottleneck:
+            self._bottleneck = bottleneck
+        now = self._now()
+        weight = _weight_after(
+            now - self._pressure_recorded_at, PRESSURE_TIME_CONSTANT_S
+        )
+        self._pressure_recorded_at = now
+        self._pressure += (pressure - self._pressure) * weight
         self._pressure_reported = True
 
     def _advance(self) -> None:
@@ -189,22 +217,18 @@
         if (
             self._failure_count
             > TOLERATED_FAILURE_RATIO * outcomes + FAILURE_ALLOWANCE
+            and self._pressure < QUEUEING_PRESSURE
         ):
             success_ratio = self._success_count / outcomes
-            self.probability = max(
-                self.probability * success_ratio, MIN_PROBABILITY
-            )
-            self._step = INITIAL_STEP
             self._settled_after = self._window_ends + SETTLING_TIME_S
-            self._log("wasted")
+            self._find_least_urgent().multiply(success_ratio, self._name)
             self._success_count = self._failure_count = 0.0
             return
         pressure_rise = self._pressure - self._previous_pressure
         self._previous_pressure = self._pressure
-        if (
-            self._failure_ratio > MIN_FAILURE_RATIO
-            and self._pressure > MIN_REGULATED_PRESSURE
-        ):
+        if self._pressed and (self.regulated or self._protects_failing_kind()):
+            # A regulated kind stays so when failures end: they ended because
+            # of the regulation.
             self._regulate(pressure_rise)
             return
         if self.probability < 1.0 <= self.probability + self._step:
@@ -214,10 +238,61 @@
         self._success_count *= OUTCOME_DECAY
         self._failure_count *= OUTCOME_DECAY
 
+    def multiply(self, factor: float, cause: str) -> None:
+        """Decreases the probability since requests fail.
+
+        Args:
+            factor: factor on the probability.
+            cause: kind whose requests fail.
+        """
+        self.probability = max(self.probability * factor, MIN_PROBABILITY)
+        self._step = INITIAL_STEP
+        self._settled_after = max(
+            self._settled_after, self._now() + SETTLING_TIME_S
+        )
+        self._log("wasted", cause)
+
+    @property
+    def _pressed(self) -> bool:
+        """Whether a called service has about as many calls as slots."""
+        return self._pressure > MIN_REGULATED_PRESSURE
+
+    def _group(self) -> "Iterable[AdmissionController]":
+        """Returns this kind and the others under pressure of its bottleneck."""
+        yield self
+        for other in self._all_controllers():
+            if other is self or not other._pressed:
+                continue
+            if other._bottleneck == self._bottleneck:
+                yield other
+
+    def _protects_failing_kind(self) -> bool:
+        """Returns whether this kind, or one as urgent in its group, fails."""
+        return any(
+            each.rank <= self.rank and each._failure_ratio > MIN_FAILURE_RATIO
+            for each in self._group()
+        )
+
+    def _find_least_urgent(self) -> "AdmissionController":
+        """Returns the kind to decrease when requests of this one fail.
+
+        Without pressure the cause is not a shared queue, and it is this kind.
+        """
+        chosen = self
+        if not self._pressed:
+            return chosen
+        for other in self._group():
+            if other.probability <= FULLY_REFUSED_PROBABILITY:
+                continue
+            if other.rank > chosen.rank:
+                chosen = other
+        return chosen
+
     def _regulate(self, pressure_rise: float) -> None:
         """Adjusts the probability towards the target pressure."""
         excess = self._pressure - TARGET_PRESSURE
-        change = -(PROPORTIONAL_GAIN * pressure_rise + INTEGRAL_GAIN * excess)
+        gain = INTEGRAL_GAIN * (1.0 + max(excess, 0.0))
+        change = -(PROPORTIONAL_GAIN * pressure_rise + gain * excess)
         self._regulated_until = self._window_ends + REGULATED_FOR_S
         if self._must_yield(change < 0.0):
             return
@@ -240,7 +315,7 @@
 
         Less urgent kinds decrease first and increase last.
         """
-        for other in self._all_controllers():
+        for other in self._group():
             if not other.regulated:
                 continue
             if (
@@ -257,8 +332,13 @@
                 return True
         return False
 
-    def _log(self, reason: str) -> None:
-        """Logs a change of the probability and its reason."""
+    def _log(self, reason: str, cause: str = "") -> None:
+        """Logs a change of the probability and its reason.
+
+        Args:
+            reason: the reason.
+            cause: kind whose requests fail; empty for this one.
+        """
         telemetry.event(
             _LOGGER,
             "admission.changed",
@@ -269,5 +349,12 @@
             failed=round(self._failure_count, 1),
             wasted=round(self._failure_ratio, 3),
             pressure=round(self._pressure, 2),
+            bottleneck=self._bottleneck,
+            cause=cause or self._name,
             rank=self.rank,
         )
+
+
+def _weight_after(elapsed_s: float, time_constant_s: float) -> float:
+    """Returns the weight of a sample after a time without samples."""
+    return 1.0 - math.exp(-elapsed_s / time_constant_s)
--- a/flamingolug/gateway/_frames.py
+++ b/flamingolug/gateway/_frames.py
@@ -63,6 +63,9 @@
     failing: int
     #: Pressure in hundredths.
     pressure: int
+    #: Service that has this pressure, empty below
+    #: `_pressure.MIN_REPORTED_PRESSURE`.
+    bottleneck: str = ""
 
 
 class ResultFrame(msgspec.Struct, array_like=True, tag=3, frozen=True):
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -21,6 +21,7 @@
 from flamingolug.gateway import _metrics
 from flamingolug.gateway import _model
 from flamingolug.gateway import _pool
+from flamingolug.gateway import _pressure
 from flamingolug.gateway import _server_load
 from flamingolug.gateway import _slots
 
@@ -99,7 +100,7 @@
     #: Returns the services that have an upstream.
     services: Callable[[], Collection[str]]
     #: Returns the highest pressure of the services that the upstream calls.
-    callee_pressure: Callable[[], float]
+    callee_pressure: Callable[[], _pressure.Pressure]
 
 
 class Gate:
@@ -259,14 +260,20 @@
     def load(self) -> _model.LoadReport:
         """Returns the load of the upstream."""
         slots = self.slots
-        pressure = (slots.running + sum(slots.waiting_by_rank)) / slots.limit
+        pressure = _pressure.Pressure(
+            (slots.running + sum(slots.waiting_by_rank)) / slots.limit,
+            self._deps.cfg.identity.service,
+        )
+        pressure = max(pressure, self._deps.callee_pressure())
+        named = pressure.ratio >= _pressure.MIN_REPORTED_PRESSURE
         return _model.LoadReport(
             slots.running,
             slots.limit,
             tuple(slots.waiting_by_rank),
             slots.hold_s,
             self._failure_ratio,
-            max(pressure, self._deps.callee_pressure()),
+            pressure.ratio,
+            pressure.bottleneck if named else "",
         )
 
     def submit(
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -56,6 +56,7 @@
         frame.hold_ms / 1000.0,
         frame.failing / 100.0,
         frame.pressure / 100.0,
+        frame.bottleneck,
     )
 
 
@@ -68,6 +69,7 @@
         int(load.hold_s * 1000),
         int(load.failure_ratio * 100),
         int(load.pressure * 100),
+        load.bottleneck,
     )
 
 
--- a/flamingolug/gateway/_model.py
+++ b/flamingolug/gateway/_model.py
@@ -156,6 +156,8 @@
     #: among this upstream and the services that it calls. Above 1, calls
     #: wait.
     pressure: float = 0.0
+    #: Service that has this pressure; empty if it is too low to matter.
+    bottleneck: str = ""
 
 
 class Outcome(NamedTuple):
--- a/flamingolug/gateway/_pressure.py
+++ b/flamingolug/gateway/_pressure.py
@@ -6,12 +6,23 @@
 """
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 #: Weight of a new report; at a hundred calls a second the mean follows two
 #: thirds of a change within 0.05 s.
 SMOOTHING = 0.2
 #: Age at which a pressure is ignored, seconds.
 MAX_AGE_S = 1.0
+#: Pressure from which the bottleneck is named; below it, slots are free.
+MIN_REPORTED_PRESSURE = 0.9
+
+
+class Pressure(NamedTuple):
+    """Highest pressure in a call chain and where it arises."""
+
+    ratio: float
+    #: Service that has this pressure, empty for none.
+    bottleneck: str
 
 
 class CalleePressure:
@@ -22,18 +33,26 @@
         self._now = now
         self._smoothed: dict[str, float] = {}
         self._recorded_at: dict[str, float] = {}
+        #: Bottleneck behind each called service, as reported last.
+        self._bottlenecks: dict[str, str] = {}
 
-    def record(self, service: str, pressure: float) -> None:
+    def record(self, service: str, pressure: float, bottleneck: str) -> None:
         """Records the pressure that an outcome reports for a service."""
+        if bottleneck:
+            self._bottlenecks[service] = bottleneck
         mean = self._smoothed.get(service, 0.0)
         self._smoothed[service] = mean + (pressure - mean) * SMOOTHING
         self._recorded_at[service] = self._now()
 
-    def highest(self) -> float:
+    def highest(self) -> Pressure:
         """Returns the highest pressure that is recent, 0 for none."""
         now = self._now()
-        highest = 0.0
+        highest = Pressure(0.0, "")
         for service, pressure in self._smoothed.items():
-            if now - self._recorded_at[service] < MAX_AGE_S:
-                highest = max(highest, pressure)
+            if now - self._recorded_at[service] >= MAX_AGE_S:
+                continue
+            if pressure > highest.ratio:
+                highest = Pressure(
+                    pressure, self._bottlenecks.get(service, service)
+                )
         return highest
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -307,7 +307,7 @@
             return _model.unknown("timeout")
         pending.complete(outcome)
         if outcome.load is not None:
-            self._record_pressure(routed, outcome.load.pressure)
+            self._record_pressure(routed, outcome.load)
         if outcome.nested:
             self._nested_routes.add(routed.route.name)
         elif outcome.load is not None:
@@ -316,12 +316,18 @@
             self._nested_routes.discard(routed.route.name)
         return outcome
 
-    def _record_pressure(self, routed: _RoutedRequest, pressure: float) -> None:
+    def _record_pressure(
+        self, routed: _RoutedRequest, load: _model.LoadReport
+    ) -> None:
         """Records the pressure that a gate reports with an outcome."""
         if routed.route.name not in self._nested_routes:
-            self._admission_controller_of(routed).record_pressure(pressure)
+            self._admission_controller_of(routed).record_pressure(
+                load.pressure, load.bottleneck
+            )
             return
-        self._deps.callee_pressure.record(routed.service, pressure)
+        self._deps.callee_pressure.record(
+            routed.service, load.pressure, load.bottleneck
+        )
 
     def _find_stop_reason(
         self,
--- a/flamingolug/gateway/tests/test_admission_load.py
+++ b/flamingolug/gateway/tests/test_admission_load.py
@@ -17,6 +17,9 @@
 _NODES = 14
 #: Nodes of a large deployment, each of which gets a small part of the load.
 _MANY_NODES = 74
+#: Nodes of a large fleet, each of which sees about one request of a kind in a
+#: second.
+_LARGE_FLEET_NODES = 194
 #: Slots of the overloaded service, and the mean time for which a call holds one
 #: of them.
 _SLOTS, _HOLD_S = 78, 0.05
@@ -30,6 +33,9 @@
 _MIN_UTILISATION = 0.9
 #: Longest mean wait of a call: a quarter of its latency target of 0.3 s.
 _MAX_MEAN_WAIT_S = 0.075
+#: Most by which the served fraction of a kind may be below that of a less
+#: urgent one.
+_MAX_INVERSION = 0.05
 #: Seconds after an overload within which admission must have recovered.
 _RECOVERY_S = 5
 #: Initial time in which the probability settles; not evaluated.
@@ -46,6 +52,13 @@
     admitted: dict[int, float]
 
 
+class _Request(NamedTuple):
+    """A request that has calls to make."""
+
+    started_at: float
+    calls_left: int
+
+
 class _Simulation:
     """Simulation of requests that enter at many nodes and call one service."""
 
@@ -56,6 +69,7 @@
         ranks: tuple[int, ...] = (1,),
         nodes: int = _NODES,
         overload_until_s: float = _DURATION_S,
+        time_limits_s: dict[int, float] | None = None,
     ) -> None:
         """Prepares a simulation.
 
@@ -66,7 +80,10 @@
             ranks: ranks of the kinds, which have equal demand.
             nodes: number of nodes.
             overload_until_s: when the demand falls to half the capacity.
+            time_limits_s: time after which a request of a rank fails; a rank
+                without one never fails by time, nor at random.
         """
+        self._time_limits_s = time_limits_s
         self.now = 0.0
         self._rng = random.Random(5)
         self._first_delay_s = first_delay_s
@@ -96,9 +113,11 @@
         )
         self._offered: collections.Counter[int] = collections.Counter()
         self._admitted: collections.Counter[int] = collections.Counter()
-        self._events: list[tuple[float, int, str, int, int]] = []
+        self._events: list[tuple[float, int, str, int, _Request]] = []
+        #: Requests of each rank that succeeded after the settling time.
+        self.succeeded: collections.Counter[int] = collections.Counter()
         self._event_numbers = itertools.count()
-        self._waiting: collections.deque[tuple[int, int, float]] = (
+        self._waiting: collections.deque[tuple[int, _Request, float]] = (
             collections.deque()
         )
         self._running = 0
@@ -111,16 +130,16 @@
             self._admission_controllers
         ):
             # Pressure affects only kinds with failures.
-            for _ in range(50):
+            for _ in range(0 if self._time_limits_s else 50):
                 admission_controller.record_outcome(False)
             self._schedule(
                 self._rng.expovariate(1 / self._mean_gap_s),
                 "new",
                 controller_index,
-                0,
+                _Request(0.0, 0),
             )
         while self._events:
-            self.now, _, event, controller_index, calls_left = heapq.heappop(
+            self.now, _, event, controller_index, req = heapq.heappop(
                 self._events
             )
             if self.now > _DURATION_S:
@@ -128,9 +147,9 @@
             if event == "new":
                 self._handle_arrival(controller_index)
             elif event == "call":
-                self._handle_call(controller_index, calls_left)
+                self._handle_call(controller_index, req)
             else:
-                self._handle_end(controller_index, calls_left)
+                self._handle_end(controller_index, req)
         span_s = _DURATION_S - _SETTLING_S
         utilisation = self._completed * _HOLD_S / (_SLOTS * span_s)
         admitted = {
@@ -142,7 +161,7 @@
         )
 
     def _schedule(
-        self, after_s: float, event: str, controller_index: int, calls_left: int
+        self, after_s: float, event: str, controller_index: int, req: _Request
     ) -> None:
         """Schedules an event of one kind of request at one node."""
         heapq.heappush(
@@ -152,7 +171,7 @@
                 next(self._event_numbers),
                 event,
                 controller_index,
-                calls_left,
+                req,
             ),
         )
 
@@ -163,7 +182,7 @@
             self._rng.expovariate(1 / self._mean_gap_s),
             "new",
             controller_index,
-            0,
+            _Request(0.0, 0),
         )
         admitted = not self._admission_controllers[controller_index].refuse(
             False, self._rng
@@ -171,21 +190,22 @@
         self.offered_by_second[int(self.now)] += 1
         self.admitted_by_second[int(self.now)] += admitted
         if self.now > _SETTLING_S:
-            rank = self._ranks[controller_index % len(self._ranks)]
+            rank = self._rank_of(controller_index)
             self._offered[rank] += 1
             self._admitted[rank] += admitted
         if admitted:
             delay_s = self._rng.uniform(0.5, 1.5) * self._first_delay_s
-            self._schedule(delay_s, "call", controller_index, _CALLS)
+            req = _Request(self.now, _CALLS)
+            self._schedule(delay_s, "call", controller_index, req)
 
-    def _handle_call(self, controller_index: int, calls_left: int) -> None:
+    def _handle_call(self, controller_index: int, req: _Request) -> None:
         if self._running < _SLOTS:
-            self._start(controller_index, calls_left, self.now)
+            self._start(controller_index, req, self.now)
             return
-        self._waiting.append((controller_index, calls_left, self.now))
+        self._waiting.append((controller_index, req, self.now))
 
     def _start(
-        self, controller_index: int, calls_left: int, since: float
+        self, controller_index: int, req: _Request, since: float
     ) -> None:
         self._running += 1
         if self.now > _SETTLING_S:
@@ -194,23 +214,44 @@
             self._rng.gammavariate(4, _HOLD_S / 4),
             "end",
             controller_index,
-            calls_left,
+            req,
         )
 
-    def _handle_end(self, controller_index: int, calls_left: int) -> None:
+    def _handle_end(self, controller_index: int, req: _Request) -> None:
         self._running -= 1
         if self.now > _SETTLING_S:
             self._completed += 1
         if self._waiting:
             self._start(*self._waiting.popleft())
-        if calls_left > 1:
-            self._schedule(0.001, "call", controller_index, calls_left - 1)
+        if req.calls_left > 1 and not self._is_over_time(controller_index, req):
+            left = req._replace(calls_left=req.calls_left - 1)
+            self._schedule(0.001, "call", controller_index, left)
             return
         admission_controller = self._admission_controllers[controller_index]
         admission_controller.record_pressure(
-            (self._running + len(self._waiting)) / _SLOTS
+            (self._running + len(self._waiting)) / _SLOTS, "leaf"
         )
-        admission_controller.record_outcome(self._rng.random() > _FAILURE_RATIO)
+        succeeded = self._succeeds(controller_index, req)
+        admission_controller.record_outcome(succeeded)
+        if self.now > _SETTLING_S and succeeded:
+            self.succeeded[self._rank_of(controller_index)] += 1
+
+    def _rank_of(self, controller_index: int) -> int:
+        return self._ranks[controller_index % len(self._ranks)]
+
+    def _is_over_time(self, controller_index: int, req: _Request) -> bool:
+        limits_s = self._time_limits_s or {}
+        limit_s = limits_s.get(self._rank_of(controller_index))
+        return limit_s is not None and self.now - req.started_at > limit_s
+
+    def _succeeds(self, controller_index: int, req: _Request) -> bool:
+        if self._time_limits_s is None:
+            return self._rng.random() > _FAILURE_RATIO
+        return not self._is_over_time(controller_index, req)
+
+    def success_ratio(self, rank: int) -> float:
+        """Returns the fraction of the offered requests that succeeded."""
+        return self.succeeded[rank] / self._offered[rank]
 
 
 class AdmissionLoadTest(unittest.TestCase):
@@ -233,6 +274,30 @@
         self.assertGreater(result.admitted[1], 0.95)
         self.assertLess(result.admitted[2], 0.5)
 
+    def check_order_of_kinds_with_different_deadlines(self, nodes: int) -> None:
+        """Checks that long deadlines do not displace short, urgent ones.
+
+        Requests with a long deadline only become late in a queue in which the
+        more urgent ones fail.
+        """
+        simulation = _Simulation(
+            1.6, 0.25, (0, 2), nodes, time_limits_s={0: 0.8}
+        )
+        result = simulation.run()
+        self.assertGreater(result.utilisation, _MIN_UTILISATION)
+        self.assertGreater(
+            simulation.success_ratio(0),
+            simulation.success_ratio(2) - _MAX_INVERSION,
+        )
+
+    def test_kinds_with_long_deadlines_yield_to_more_urgent_ones(self) -> None:
+        for nodes in (_NODES, _MANY_NODES):
+            with self.subTest(nodes=nodes):
+                self.check_order_of_kinds_with_different_deadlines(nodes)
+
+    def test_kinds_yield_to_more_urgent_ones_in_a_large_fleet(self) -> None:
+        self.check_order_of_kinds_with_different_deadlines(_LARGE_FLEET_NODES)
+
     def test_admission_recovers_after_an_overload_with_few_and_many_nodes(
         self,
     ) -> None:
