Test an upstream's repeated refusal and answers that end in their head

An upstream that writes an earlier refusal once more on a kept connection: a refusal with another request's id, or without an id on a connection in use again, is no answer to the next request; that one is answered by its own response and runs once. An upstream that closes within the head or the body of its answer: the caller gets 502, not a success, at each of eight positions, and the request runs once.

The stand-in can now close a connection behind each response.

--- a/flamingolug/platform/tests/test_deployment.py
+++ b/flamingolug/platform/tests/test_deployment.py
@@ -19,6 +19,11 @@
 ]
 
 
+def _put_before(extra: bytes) -> Callable[[http1.Request, bytes], bytes]:
+    """Returns a function that puts bytes in front of each response."""
+    return lambda req, data: extra + data
+
+
 class RequestTest(unittest.TestCase):
     """Tests that share one deployment; each uses its own request ids."""
 
@@ -40,6 +45,7 @@
             instance.server.refuse = False
             instance.server.fail = False
             instance.server.rewrite_response = None
+            instance.server.closing = False
             instance.server.service_s = 0.005
 
     def test_response_has_body_seal_and_request_id_but_no_load_header(
@@ -133,6 +139,59 @@
         response = deployment.send_request(self.front, "read", "h1")
         self.assertEqual(response.body, b"body of h1")
 
+    # Guards against a second run, or a false "not run", after a refusal that a
+    # faulty upstream writes once more.
+    def test_earlier_refusal_is_no_answer_to_the_next_request(self) -> None:
+        not_run = (b"x-not-executed", b"1")
+        cases = {"with its id": [(b"x-attempt-id", b"p1")], "without id": []}
+        for number, (name, id_headers) in enumerate(cases.items()):
+            with self.subTest(name):
+                refusal = http1.format_response(
+                    503, [*id_headers, not_run], b"", False
+                )
+                self.till.server.rewrite_response = None
+                deployment.send_request(
+                    self.front, "pay", f"p{number}0", b"POST"
+                )
+                self.till.server.rewrite_response = _put_before(refusal)
+                request_id = f"p{number}1"
+                response = deployment.send_request(
+                    self.front, "pay", request_id, b"POST"
+                )
+                self.assertEqual(response.status, 200)
+                self.assertEqual(
+                    response.body, f"body of {request_id}".encode()
+                )
+                self.assertEqual(
+                    self.till.server.executed_ids.count(request_id), 1
+                )
+
+    # Guards against a short answer that is framed as a complete one.
+    def test_answer_that_ends_in_its_head_or_body_is_not_delivered(
+        self,
+    ) -> None:
+        self.till.server.closing = True
+        sizes: list[int] = []
+
+        def cut(req: http1.Request, data: bytes) -> bytes:
+            del req
+            return data[: sizes[-1]]
+
+        self.till.server.rewrite_response = cut
+        # The beginning of the status line, its end, within fields, before the
+        # empty line, within the body.
+        for size in (5, 17, 30, 60, -16, -14, -12, -1):
+            with self.subTest(size=size):
+                sizes.append(size)
+                request_id = f"q{len(sizes)}"
+                response = deployment.send_request(
+                    self.front, "pay", request_id, b"POST"
+                )
+                self.assertEqual(response.status, 502)
+                self.assertEqual(
+                    self.till.server.executed_ids.count(request_id), 1
+                )
+
     def test_success_without_seal_is_not_delivered(self) -> None:
         self.till.server.rewrite_response = lambda req, data: data.replace(
             b"x-response-seal", b"x-other"
--- a/flamingolug_standins/sealing_server.py
+++ b/flamingolug_standins/sealing_server.py
@@ -34,6 +34,7 @@
             response; returns the bytes to send instead. None sends them
             unchanged. An `OSError` that it raises closes the connection
             without a response.
+        closing: the connection is closed behind each response.
         endless: beginning of an answer, and the bytes that follow it until the
             connection is closed; sent instead of the response to a request that
             ran. None sends responses.
@@ -77,6 +78,7 @@
         self.rewrite_response: (
             Callable[[http1.Request, bytes], bytes] | None
         ) = None
+        self.closing = False
         self.endless: tuple[bytes, bytes] | None = None
         self.max_accepted: int | None = None
         self.must_hang: Callable[[http1.Request], bool] = lambda req: False
@@ -167,6 +169,8 @@
                     if self.endless is not None:
                         _send_endlessly(stream, *self.endless)
                     stream.send_all(response)
+                    if self.closing:
+                        return
         except OSError:
             return
         finally:
