Divide the retry budget by the depth below a service

Cause: each hop could use a quarter of the deployment's retry ratio and slack, since a retry near the entry is counted again at each service below. At the last service of a chain a retry costs one call, but it got no more than the first.

Ruled out: a larger fraction everywhere.

Change: load reports state the longest chain of calls below the service, learned hop by hop from nested calls. The last service may use half of the budget, each service above it half of that, so a chain of any depth stays within it. Requests count in this window or in the one half a window earlier, since a service that fails gets fewer calls.

Evidence: test_last_service_of_a_chain_gets_half_of_the_retries and test_requests_before_a_decrease_count_for_half_a_window fail before (no such argument); a chain of four services at 17 and 194 nodes whose every request needs a retry stays within the budget in every window.

--- a/flamingolug/gateway/_budget.py
+++ b/flamingolug/gateway/_budget.py
@@ -4,18 +4,21 @@
 refuses does not use the budget.
 """
 
+import bisect
 from collections import deque
 from collections.abc import Callable
 
 from flamingolug.gateway import _model
 
-#: Fraction of the deployment's retry ratio that one hop may use: a retry near
-#: the first node of a call chain is counted again at each of up to four
-#: services further down.
-HOP_FRACTION = 0.25
-#: Fraction of the deployment's slack that one hop may use, for the same reason;
-#: it is divided among the nodes.
-SLACK_FRACTION = 0.25
+#: Fraction of the deployment's retries that the last hop of a call chain may
+#: use, and the factor for each further hop above it. A retry is counted again
+#: at each service further down, so the fractions of a whole chain must add up
+#: to at most 1. The last hop gets most, since a retry there repeats one call
+#: instead of all the work above it.
+HOP_FRACTION = 0.5
+#: Fraction of a window by which the earlier window begins whose requests count
+#: if they are more: the calls of a service become fewer when it starts to fail.
+WINDOW_SHIFT = 0.5
 
 
 class RetryBudget:
@@ -33,22 +36,45 @@
     def record_first_attempt(self) -> None:
         """Counts the first attempt of a request."""
         self._first_attempts.append(self._now())
+        self._forget_old_attempts()
 
-    def try_spend(self, nodes: int) -> bool:
+    def try_spend(self, nodes: int, chain_depth: int) -> bool:
         """Returns whether a retry is within the budget, and counts it if so.
 
         Args:
             nodes: number of nodes that divide the slack.
+            chain_depth: longest chain of calls below the service.
         """
         now = self._now()
-        window_start = now - self._bounds.window_s
-        for times in (self._first_attempts, self._retries):
-            while times and times[0] < window_start:
-                times.popleft()
-        allowed = self._bounds.ratio * HOP_FRACTION * len(
-            self._first_attempts
-        ) + self._bounds.slack * SLACK_FRACTION / max(nodes, 1)
+        window_s = self._bounds.window_s
+        self._forget_old_attempts()
+        _drop_before(now - window_s, self._retries)
+        fraction = HOP_FRACTION ** (chain_depth + 1)
+        allowed = fraction * (
+            self._bounds.ratio * self._count_first_attempts(now)
+            + self._bounds.slack / max(nodes, 1)
+        )
         if len(self._retries) + 1 > allowed:
             return False
         self._retries.append(now)
         return True
+
+    def _forget_old_attempts(self) -> None:
+        window_s = self._bounds.window_s
+        _drop_before(
+            self._now() - window_s * (1.0 + WINDOW_SHIFT),
+            self._first_attempts,
+        )
+
+    def _count_first_attempts(self, now: float) -> int:
+        """Returns the requests of this window or of the one half before it."""
+        times = self._first_attempts
+        window_s = self._bounds.window_s
+        recent = bisect.bisect_left(times, now - window_s)
+        shifted = bisect.bisect_left(times, now - window_s * WINDOW_SHIFT)
+        return max(len(times) - recent, shifted)
+
+
+def _drop_before(start: float, times: deque[float]) -> None:
+    while times and times[0] < start:
+        times.popleft()
--- a/flamingolug/gateway/_frames.py
+++ b/flamingolug/gateway/_frames.py
@@ -66,6 +66,8 @@
     #: Service that has this pressure, empty below
     #: `_pressure.MIN_REPORTED_PRESSURE`.
     bottleneck: str = ""
+    #: Longest chain of calls below the sender's service.
+    chain_depth: int = 0
 
 
 class ResultFrame(msgspec.Struct, array_like=True, tag=3, frozen=True):
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -99,8 +99,8 @@
     notify_peers: Callable[[], None]
     #: Returns the services that have an upstream.
     services: Callable[[], Collection[str]]
-    #: Returns the highest pressure of the services that the upstream calls.
-    callee_pressure: Callable[[], _pressure.Pressure]
+    #: Pressure of the services that the upstream calls.
+    callee_pressure: _pressure.CalleePressure
 
 
 class Gate:
@@ -264,7 +264,8 @@
             (slots.running + sum(slots.waiting_by_rank)) / slots.limit,
             self._deps.cfg.identity.service,
         )
-        pressure = max(pressure, self._deps.callee_pressure())
+        callees = self._deps.callee_pressure
+        pressure = max(pressure, callees.highest())
         named = pressure.ratio >= _pressure.MIN_REPORTED_PRESSURE
         return _model.LoadReport(
             slots.running,
@@ -274,6 +275,7 @@
             self._failure_ratio,
             pressure.ratio,
             pressure.bottleneck if named else "",
+            callees.chain_depth,
         )
 
     def submit(
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -57,6 +57,7 @@
         frame.failing / 100.0,
         frame.pressure / 100.0,
         frame.bottleneck,
+        frame.chain_depth,
     )
 
 
@@ -70,6 +71,7 @@
         int(load.failure_ratio * 100),
         int(load.pressure * 100),
         load.bottleneck,
+        load.chain_depth,
     )
 
 
--- a/flamingolug/gateway/_model.py
+++ b/flamingolug/gateway/_model.py
@@ -158,6 +158,9 @@
     pressure: float = 0.0
     #: Service that has this pressure; empty if it is too low to matter.
     bottleneck: str = ""
+    #: Longest chain of calls below the upstream's service, 0 for a service that
+    #: calls none.
+    chain_depth: int = 0
 
 
 class Outcome(NamedTuple):
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -102,7 +102,7 @@
             lambda: parts.get(
                 "gateway.directory", _directory.Directory
             ).services(),
-            parts.get("gateway.pressure", _pressure.CalleePressure).highest,
+            parts.get("gateway.pressure", _pressure.CalleePressure),
         )
     )
 
--- a/flamingolug/gateway/_pressure.py
+++ b/flamingolug/gateway/_pressure.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from flamingolug.gateway import _model
+
 #: Weight of a new report; at a hundred calls a second the mean follows two
 #: thirds of a change within 0.05 s.
 SMOOTHING = 0.2
@@ -15,6 +17,8 @@
 MAX_AGE_S = 1.0
 #: Pressure from which the bottleneck is named; below it, slots are free.
 MIN_REPORTED_PRESSURE = 0.9
+#: Upper bound of the chain depth; services that call each other have no depth.
+MAX_CHAIN_DEPTH = 15
 
 
 class Pressure(NamedTuple):
@@ -35,13 +39,18 @@
         self._recorded_at: dict[str, float] = {}
         #: Bottleneck behind each called service, as reported last.
         self._bottlenecks: dict[str, str] = {}
+        #: Longest chain of calls below the backend server beside the node.
+        self.chain_depth = 0
 
-    def record(self, service: str, pressure: float, bottleneck: str) -> None:
-        """Records the pressure that an outcome reports for a service."""
-        if bottleneck:
-            self._bottlenecks[service] = bottleneck
+    def record(self, service: str, load: _model.LoadReport) -> None:
+        """Records what an outcome reports for a called service."""
+        if load.bottleneck:
+            self._bottlenecks[service] = load.bottleneck
+        self.chain_depth = min(
+            max(self.chain_depth, load.chain_depth + 1), MAX_CHAIN_DEPTH
+        )
         mean = self._smoothed.get(service, 0.0)
-        self._smoothed[service] = mean + (pressure - mean) * SMOOTHING
+        self._smoothed[service] = mean + (load.pressure - mean) * SMOOTHING
         self._recorded_at[service] = self._now()
 
     def highest(self) -> Pressure:
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -112,6 +112,8 @@
         self._longest_deadline_s: dict[str, float] = {}
         #: Routes of nested calls, as reported by the gates of the upstreams.
         self._nested_routes: set[str] = set()
+        #: Longest chain of calls below each service, as reported by its gates.
+        self._chain_depths: dict[str, int] = {}
         #: Ordinary successes since the start; a sample of them is logged.
         self._ordinary_successes = 0
 
@@ -308,6 +310,10 @@
         pending.complete(outcome)
         if outcome.load is not None:
             self._record_pressure(routed, outcome.load)
+            self._chain_depths[routed.service] = max(
+                outcome.load.chain_depth,
+                self._chain_depths.get(routed.service, 0),
+            )
         if outcome.nested:
             self._nested_routes.add(routed.route.name)
         elif outcome.load is not None:
@@ -325,9 +331,7 @@
                 load.pressure, load.bottleneck
             )
             return
-        self._deps.callee_pressure.record(
-            routed.service, load.pressure, load.bottleneck
-        )
+        self._deps.callee_pressure.record(routed.service, load)
 
     def _find_stop_reason(
         self,
@@ -347,7 +351,8 @@
         if state.arrivals >= routed.route.max_attempts:
             return "attempts"
         budget = self._budget_of(routed.service)
-        if not budget.try_spend(self._deps.node_count()):
+        chain_depth = self._chain_depths.get(routed.service, 0)
+        if not budget.try_spend(self._deps.node_count(), chain_depth):
             return "budget"
         return ""
 
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -277,28 +277,74 @@
 class BudgetTest(unittest.TestCase):
     """Retry budget of a deployment, divided among its nodes."""
 
-    def test_retries_of_all_nodes_stay_within_the_total_budget(self) -> None:
-        clock = Clock()
-        bounds = _model.RetryBounds(0.2, 48.0, 10.0)
-        nodes = [_budget.RetryBudget(bounds, clock.now) for _ in range(17)]
+    #: Services of the call chain.
+    CHAIN = 4
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.bounds = _model.RetryBounds(0.2, 48.0, 10.0)
+        self.first_attempts: list[float] = []
+        #: Attempts at the last service of the chain that are repeats.
+        self.retries: list[float] = []
+
+    def run_failing_chain(self, nodes: int, duration_s: float) -> None:
+        """Sends requests that need a retry at each service of a chain."""
+        budgets = [
+            [
+                _budget.RetryBudget(self.bounds, self.clock.now)
+                for _ in range(self.CHAIN)
+            ]
+            for _ in range(nodes)
+        ]
         rng = random.Random(3)
-        retries: list[float] = []
-        first_attempts: list[float] = []
-        for _ in range(6000):
-            clock.time_s += 0.005
-            node = rng.choice(nodes)
-            node.record_first_attempt()
-            first_attempts.append(clock.time_s)
-            if node.try_spend(17):
-                retries.append(clock.time_s)
-        for time_s in retries:
-            retry_count = sum(
-                1 for each in retries if time_s - 10.0 <= each <= time_s
-            )
-            request_count = sum(
-                1 for each in first_attempts if time_s - 10.0 <= each <= time_s
-            )
-            self.assertLessEqual(retry_count, 0.2 * request_count + 48.0)
+        ends_at = self.clock.time_s + duration_s
+        while self.clock.time_s < ends_at:
+            self.clock.time_s += 0.005
+            self.first_attempts.append(self.clock.time_s)
+            for chain_depth, budget in enumerate(rng.choice(budgets)):
+                budget.record_first_attempt()
+                if budget.try_spend(nodes, chain_depth):
+                    self.retries.append(self.clock.time_s)
+
+    def count(self, times: list[float], ends_at: float) -> int:
+        """Returns the number of times in the window that ends at one."""
+        window_s = self.bounds.window_s
+        return sum(1 for each in times if ends_at - window_s <= each <= ends_at)
+
+    def test_retries_of_all_nodes_stay_within_the_total_budget(self) -> None:
+        """A retry counts at each service further down the chain."""
+        for nodes in (17, 194):
+            with self.subTest(nodes=nodes):
+                self.retries.clear()
+                self.run_failing_chain(nodes, 30.0)
+                for time_s in self.retries:
+                    self.assertLessEqual(
+                        self.count(self.retries, time_s),
+                        0.2 * self.count(self.first_attempts, time_s) + 48.0,
+                    )
+
+    def test_last_service_of_a_chain_gets_half_of_the_retries(self) -> None:
+        budget = _budget.RetryBudget(self.bounds, self.clock.now)
+        for _ in range(1000):
+            budget.record_first_attempt()
+        spent = 0
+        while budget.try_spend(194, 0):
+            spent += 1
+        self.assertEqual(spent, 100)
+
+    def test_requests_before_a_decrease_count_for_half_a_window(self) -> None:
+        """A service that fails gets fewer calls, since their parents fail."""
+        budget = _budget.RetryBudget(self.bounds, self.clock.now)
+        for _ in range(1000):
+            self.clock.time_s += 0.01
+            budget.record_first_attempt()
+        self.clock.time_s += 4.9
+        spent = 0
+        while budget.try_spend(194, 0):
+            spent += 1
+        self.assertGreater(spent, 95)
+        self.clock.time_s += self.bounds.window_s + 1.0
+        self.assertFalse(budget.try_spend(194, 0))
 
 
 class AdmissionControllerTest(unittest.TestCase):
