Admit a third of a failing idempotent kind while slots are free

Cause: an entry counted every request whose offers arrived as wasted work, also those that backend servers had refused unrun, and cut the kind to 3 in 100 while the called services had free slots. Refusing such a request frees nothing that another waits for.

Ruled out: no admission control without pressure. The retries of all requests then exceed the budget, and calls fail after work at three services.

Change: only requests that a backend server has run, or may have, count as wasted. Without pressure a third of an idempotent kind is always admitted, for which the retry budget suffices; a non-idempotent one is refused further, since only a refused one may come back.

Evidence: test_failing_idempotent_requests_are_served_while_slots_are_free and test_refusals_of_the_upstream_do_not_lower_admission fail before.

--- a/flamingolug/gateway/_admission.py
+++ b/flamingolug/gateway/_admission.py
@@ -18,7 +18,10 @@
   not affect kinds while none of this group fails that is as urgent.
 - When too many requests fail, the probability is multiplied by the fraction
   that succeeded, at most once in each `SETTLING_TIME_S`. Under pressure this
-  applies to the least urgent kind of the group that is still admitted.
+  applies to the least urgent kind of the group that is still admitted. Without
+  pressure, failing work displaces no other, so a third of an idempotent kind is
+  always admitted: its callers may repeat what fails. A non-idempotent kind is
+  refused further, since only a refused request may come back.
 - The probability then grows slowly at first and faster later. So it stays near
   what can be served and is back at 1 at most about four seconds after failures
   end, or later if a high pressure first has to decay. Requests that are refused
@@ -55,6 +58,11 @@
 #: Lower bound of the probability: the requests still admitted probe for
 #: recovery.
 MIN_PROBABILITY = 0.03
+#: Lower bound for idempotent kinds while the called services have free slots:
+#: what is admitted then displaces nothing, and what fails may be repeated. The
+#: retry budget, which counts earlier requests too, suffices for a third of the
+#: usual requests to be tried twice everywhere.
+MIN_REPEATABLE_PROBABILITY = 0.33
 #: Factor on the counts of outcomes at the end of a window, except in the
 #: settling time, while pressure regulates the kind, and after a decrease that
 #: failures caused, which sets the counts to zero.
@@ -112,6 +120,7 @@
         name: str = "",
         rank: int = 1,
         all_controllers: Callable[[], "Iterable[AdmissionController]"] = tuple,
+        idempotent: bool = False,
     ) -> None:
         """Creates a controller that admits every request.
 
@@ -121,7 +130,9 @@
             rank: urgency of the kind; 0 is the most urgent.
             all_controllers: returns the controllers of all kinds at this
                 node, including this one.
+            idempotent: whether callers may repeat a request that has failed.
         """
+        self._idempotent = idempotent
         self.probability = 1.0
         self.rank = rank
         self._name = name
@@ -245,7 +256,10 @@
             factor: factor on the probability.
             cause: kind whose requests fail.
         """
-        self.probability = max(self.probability * factor, MIN_PROBABILITY)
+        lowest = MIN_PROBABILITY
+        if self._idempotent and not self._pressed:
+            lowest = min(MIN_REPEATABLE_PROBABILITY, self.probability)
+        self.probability = max(self.probability * factor, lowest)
         self._step = INITIAL_STEP
         self._settled_after = max(
             self._settled_after, self._now() + SETTLING_TIME_S
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -219,7 +219,7 @@
             if state.stop_reason:
                 break
             self._log_retry(state, routed, upstream, outcome)
-        if state.arrivals and not state.cancelled:
+        if state.may_have_run and not state.cancelled:
             admission_controller.record_outcome(
                 response is not None and response.status < 500
             )
@@ -295,6 +295,8 @@
         state.finish_offer()
         if outcome.arrived:
             state.arrivals += 1
+        if outcome.verdict is not _model.Verdict.NOT_RUN:
+            state.may_have_run = True
         return outcome
 
     def _wait_for_outcome(
@@ -551,6 +553,7 @@
                 key,
                 routed.route.rank,
                 self._admission_controllers.values,
+                routed.route.idempotent,
             )
             self._admission_controllers[key] = controller
         return controller
--- a/flamingolug/gateway/_request_state.py
+++ b/flamingolug/gateway/_request_state.py
@@ -38,6 +38,8 @@
         self.offers = 0
         #: Number of attempts that reached an upstream or may have reached it.
         self.arrivals = 0
+        #: Whether an upstream has run the request or may have.
+        self.may_have_run = False
         #: Whether any offer ended with an unknown outcome.
         self.outcome_unknown = False
         #: Upstream of the last offer, empty before the first one.
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -356,6 +356,7 @@
         self.admission_controller = _admission.AdmissionController(
             self.clock.now
         )
+        self.pressure = 0.0
 
     def run_load(
         self, seconds: float, success_ratio: float, per_s: int = 20
@@ -368,6 +369,7 @@
             if self.admission_controller.refuse(False, self.rng):
                 continue
             admitted += 1
+            self.admission_controller.record_pressure(self.pressure)
             self.admission_controller.record_outcome(
                 self.rng.random() < success_ratio
             )
@@ -383,6 +385,31 @@
         self.run_load(5.0, 0.05)
         self.assertLess(self.run_load(5.0, 0.05), 0.25)
 
+    def make_idempotent(self, pressure: float) -> None:
+        """Replaces the controller by one of an idempotent kind."""
+        self.admission_controller = _admission.AdmissionController(
+            self.clock.now, idempotent=True
+        )
+        self.pressure = pressure
+
+    def test_failing_idempotent_requests_are_refused_under_pressure(
+        self,
+    ) -> None:
+        self.make_idempotent(1.2)
+        self.run_load(5.0, 0.05)
+        self.assertLess(self.run_load(5.0, 0.05), 0.25)
+
+    def test_failing_idempotent_requests_are_served_while_slots_are_free(
+        self,
+    ) -> None:
+        """Pattern: a called service refuses a part of its calls.
+
+        Refusals of callers would free no slots that others wait for.
+        """
+        self.make_idempotent(0.5)
+        self.run_load(5.0, 0.05)
+        self.assertGreater(self.run_load(15.0, 0.05), 0.3)
+
     def test_admission_is_complete_four_seconds_after_failures_end(
         self,
     ) -> None:
--- a/flamingolug/platform/tests/test_deployment.py
+++ b/flamingolug/platform/tests/test_deployment.py
@@ -122,6 +122,22 @@
         self.assertLessEqual(delay_s, 1.0)
         self.assertNotIn("f1", self.till.server.executed_ids)
 
+    # Guards against refusals at the entry of requests that waste no work.
+    def test_refusals_of_the_upstream_do_not_lower_admission(self) -> None:
+        self.till.server.refuse = True
+        for number in range(60):
+            deployment.send_request(self.front, "pay", f"x{number}", b"POST")
+            gevent.sleep(0.03)
+        self.till.server.refuse = False
+        # The upstream is ejected for a moment after it has refused a call.
+        statuses = [
+            deployment.send_request(
+                self.front, "pay", f"y{number}", b"POST"
+            ).status
+            for number in range(20)
+        ]
+        self.assertEqual(statuses, [200] * 20)
+
     def test_lost_answer_of_a_non_idempotent_call_is_not_retried(self) -> None:
         self.till.server.rewrite_response = _make_answer_loss(self.till)
         response = deployment.send_request(self.front, "pay", "g1", b"POST")
