Use fewer calls to the store while a fleet starts

Ruled out: stale listings, which are cheap but would hide that an upstream has left from a node that restarts.

Change: the first write of an entry expects the revision that the directory has, without a read; a conflict or a lost answer leads to a read as before. The delay between answers grows to 2 s at 170 entries, at most the grace of a lapsed entry; leaves travel over links at once. A node counts as behind its peers 1.5 s later than that delay.

Evidence: test_first_announcement_needs_no_read fails before (read, write), and test_starting_fleet_is_read_in_few_answers with the old delays.

--- a/flamingolug/gateway/_announcer.py
+++ b/flamingolug/gateway/_announcer.py
@@ -36,6 +36,8 @@
     timers: timing.Timers
     #: Returns the last report of the backend server, None without one.
     report: Callable[[], _model.Report | None]
+    #: Returns the revision of an entry that the directory has, 0 for none.
+    revision_of: Callable[[str], int]
 
 
 class Announcer:
@@ -55,6 +57,8 @@
         #: Revision of the entry that this node wrote last, by its key; empty
         #: if it must be read from the store.
         self._revisions: dict[str, int] = {}
+        #: Keys that this node has tried to write.
+        self._attempted_keys: set[str] = set()
         #: Set when the entry in the store is up to date.
         self._published = event.Event()
 
@@ -172,10 +176,7 @@
     def _write(self, desired: _model.Upstream) -> None:
         key = _directory.PREFIX + desired.id
         value = _directory.encode_entry(desired)
-        revision = self._revisions.get(key)
-        if revision is None:
-            page = self._deps.store.read(key)
-            revision = page.items[0].revision if page.items else 0
+        revision = self._find_revision(key)
         lease = self._lease
         if desired.state is _model.UpstreamState.GONE:
             lease = self._deps.store.grant_lease(TOMBSTONE_TTL_S)
@@ -199,3 +200,19 @@
             state=desired.state,
             lease=lease,
         )
+
+    def _find_revision(self, key: str) -> int:
+        """Returns the revision that a write of an entry has to expect.
+
+        The first write of a node expects what the directory has, which saves a
+        call to the store for each node that starts. If that is outdated, the
+        write conflicts and the next one reads the revision.
+        """
+        revision = self._revisions.get(key)
+        if revision is not None:
+            return revision
+        if key not in self._attempted_keys:
+            self._attempted_keys.add(key)
+            return self._deps.revision_of(key)
+        page = self._deps.store.read(key)
+        return page.items[0].revision if page.items else 0
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -33,18 +33,25 @@
 #: Delay after a change, seconds, so that one watch returns several changes that
 #: occur together. Changes that affect callers arrive earlier over links.
 BATCH_DELAY_S = 0.3
-#: Additional delay for each entry, seconds: the more nodes there are, the more
-#: changes occur together when many nodes start.
-BATCH_DELAY_PER_ENTRY_S = 0.005
-MAX_BATCH_DELAY_S = 1.0
+#: Additional delay for each entry, seconds: each change answers the watch of
+#: every node, and the more nodes there are, the more changes occur together.
+BATCH_DELAY_PER_ENTRY_S = 0.01
+#: At most the grace of a lapsed entry, which may be written again meanwhile.
+MAX_BATCH_DELAY_S = LAPSE_GRACE_S
 #: Seconds for which a node may lag behind a peer before it considers its watch
 #: broken. A watch lags by the batch delay and, if the store is slow, by another
 #: second.
-MAX_LAG_S = 2.5
+MAX_LAG_S = MAX_BATCH_DELAY_S + 1.5
 #: Shortest time between two restarts of the watch for that reason, seconds.
 MIN_RESTART_INTERVAL_S = 5.0
 
 
+def batch_delay_s(entry_count: int) -> float:
+    """Returns the seconds from an answered watch to the next one."""
+    delay_s = BATCH_DELAY_S + BATCH_DELAY_PER_ENTRY_S * entry_count
+    return min(delay_s, MAX_BATCH_DELAY_S)
+
+
 def encode_entry(upstream: _model.Upstream) -> bytes:
     """Returns an upstream as it is stored: its fields in order, as JSON."""
     return msgspec.json.encode(upstream)
@@ -162,6 +169,13 @@
             return None
         return entry.upstream
 
+    def revision_of(self, key: str) -> int:
+        """Returns the revision of a present entry by its key, 0 for none."""
+        entry = self._entries.get(key)
+        if entry is None or entry.lapsed_at is not None:
+            return 0
+        return entry.revision
+
     def entries_by_zone(self, service: str) -> EntriesByZone:
         """Returns the ready entries of a service by zone."""
         return self._all_by_zone().get(service, _NO_ENTRIES)
@@ -385,13 +399,7 @@
             self._covered_revision = after
             self.remove_lapsed()
             if page.items:
-                gevent.sleep(
-                    min(
-                        BATCH_DELAY_S
-                        + BATCH_DELAY_PER_ENTRY_S * len(self._entries),
-                        MAX_BATCH_DELAY_S,
-                    )
-                )
+                gevent.sleep(batch_delay_s(len(self._entries)))
 
     def _list(self) -> int:
         """Lists all entries and returns the revision to watch from."""
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -180,6 +180,7 @@
             _store(parts),
             _timers(parts),
             lambda: gate.report,
+            parts.get("gateway.directory", _directory.Directory).revision_of,
         )
     )
 
--- /dev/null
+++ b/flamingolug/gateway/tests/test_announcer.py
@@ -0,0 +1,127 @@
+"""Calls to the store with which a node announces its upstream.
+
+Pattern: optimistic write. A node that starts writes at once; only one whose
+view is outdated reads first. Hundreds of nodes start together.
+"""
+
+import types
+import unittest
+from collections.abc import Sequence
+from typing import Any
+from typing import cast
+
+from flamingolug import errors
+from flamingolug import store
+from flamingolug.gateway import _announcer
+from flamingolug.gateway import _directory
+from flamingolug.gateway import _model
+
+_KEY = _directory.PREFIX + "u1"
+
+
+class _Store:
+    """A store with one key that counts the calls by operation."""
+
+    def __init__(self, revision: int) -> None:
+        self.revision = revision
+        self.calls: list[str] = []
+        self.lose_answers = 0
+
+    def grant_lease(self, ttl_s: float) -> int:
+        """Returns a lease."""
+        del ttl_s
+        return 1
+
+    def read(self, key: str) -> store.Page:
+        """Returns the item with its revision."""
+        self.calls.append("read")
+        items = [store.Item(key, b"", self.revision)] if self.revision else []
+        return store.Page(items, self.revision)
+
+    def write(
+        self,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+        lease: int,
+        deletes: Sequence[str] = (),
+    ) -> int:
+        """Writes if the expected revision is the one stored."""
+        del key, value, lease, deletes
+        self.calls.append("write")
+        if expected_revision != self.revision:
+            raise errors.StoreConflictError("conflict", step="t", peer="t")
+        self.revision += 7
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise errors.StoreUnavailableError("lost", step="t", peer="t")
+        return self.revision
+
+
+class AnnouncementTest(unittest.TestCase):
+    def announce(self, kv: _Store, known_revision: int) -> list[str]:
+        """Announces an upstream; returns the reads and writes made."""
+        timers: Any = types.SimpleNamespace(now=lambda: 100.0)
+        cfg: Any = types.SimpleNamespace(
+            identity=types.SimpleNamespace(zone="z0"),
+            link=("h1", 1),
+            min_lease_s=1.0,
+        )
+        report = _model.Report(
+            "u1", "s", 10, _model.UpstreamState.READY, 0.0, 1, 1
+        )
+        announcer = _announcer.Announcer(
+            _announcer.Dependencies(
+                cfg,
+                cast(store.LeasedStore, kv),
+                timers,
+                lambda: report,
+                lambda key: known_revision if key == _KEY else 0,
+            )
+        )
+        announcer.start()
+        self.addCleanup(announcer.stop)
+        self.assertTrue(announcer.publish(2.0))
+        return kv.calls
+
+    def test_first_announcement_needs_no_read(self) -> None:
+        self.assertEqual(self.announce(_Store(0), 0), ["write"])
+
+    def test_entry_of_an_earlier_run_is_replaced_without_a_read(self) -> None:
+        self.assertEqual(self.announce(_Store(5), 5), ["write"])
+
+    def test_outdated_revision_is_read_once(self) -> None:
+        for known_revision in (0, 3):
+            with self.subTest(known_revision=known_revision):
+                kv = _Store(5)
+                calls = self.announce(kv, known_revision)
+                self.assertEqual(calls, ["write", "read", "write"])
+
+    def test_write_whose_answer_is_lost_is_not_overwritten_blindly(
+        self,
+    ) -> None:
+        kv = _Store(0)
+        kv.lose_answers = 1
+        self.assertEqual(self.announce(kv, 0), ["write", "read", "write"])
+
+
+class BatchTest(unittest.TestCase):
+    """One answered watch returns the changes of many nodes."""
+
+    def test_starting_fleet_is_read_in_few_answers(self) -> None:
+        """Entries come in for 8 s; each node's watch is answered 5 times."""
+        for nodes, most_answers in ((17, 20), (194, 5), (730, 5)):
+            with self.subTest(nodes=nodes):
+                delay_s = _directory.batch_delay_s(nodes)
+                self.assertLessEqual(8.0 / delay_s, most_answers)
+
+    def test_entry_is_read_again_before_its_grace_ends(self) -> None:
+        self.assertLessEqual(
+            _directory.batch_delay_s(730), _directory.LAPSE_GRACE_S
+        )
+
+    def test_lag_of_a_batch_does_not_count_as_a_broken_watch(self) -> None:
+        slow_store_s = 1.0
+        self.assertGreater(
+            _directory.MAX_LAG_S, _directory.batch_delay_s(730) + slow_store_s
+        )
