Limit the probes of a node with many links

Cause: each link without calls is probed each 2 s, and a probe wakes both nodes. Links grow with the fleet, calls per link fall.

Change: the probes of all links of a node are limited to 8 a second; up to 16 links are probed each 2 s as before. A link is lost 2.5 s after a probe without data.

Evidence: test_probes_of_all_links_are_limited fails before at 30 links and more (no such interval).

--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -34,10 +34,14 @@
 BUSY_PROBE_S = 0.5
 #: Seconds without received data after which such a link is treated as lost.
 BUSY_RECEIVE_TIMEOUT_S = 1.75
-#: Seconds between probes of a link without pending calls.
+#: Seconds between probes of a link without pending calls, if there are few.
 IDLE_PROBE_S = 2.0
-#: Seconds without received data after which such a link is treated as lost.
-IDLE_RECEIVE_TIMEOUT_S = 4.5
+#: Probes in a second of all links together: a node of a large fleet has many
+#: links with few calls each, and each probe wakes both nodes.
+MAX_PROBES_PER_S = 8.0
+#: Seconds after a probe without received data after which such a link is
+#: treated as lost.
+PROBE_RESPONSE_TIMEOUT_S = 2.5
 #: Seconds without a call after which a link is closed.
 MAX_IDLE_S = 30.0
 #: Queued bytes above which calls are not sent and results wait. A peer that
@@ -47,6 +51,11 @@
 RECONNECT_AFTER_S = 0.5
 
 
+def idle_probe_interval_s(link_count: int) -> float:
+    """Returns the seconds between probes of a link without pending calls."""
+    return max(IDLE_PROBE_S, link_count / MAX_PROBES_PER_S)
+
+
 def load_from_frame(frame: _frames.LoadFrame) -> _model.LoadReport:
     """Returns the load report that a frame carries."""
     return _model.LoadReport(
@@ -358,21 +367,29 @@
         if self._connection is not None:
             self._connection.send(_frames.CancelFrame(pending.number))
 
-    def check(self) -> None:
-        """Probes an inactive link and ends one that timed out."""
+    def check(self, idle_probe_s: float) -> None:
+        """Probes an inactive link and ends one that timed out.
+
+        Args:
+            idle_probe_s: seconds between probes without pending calls.
+        """
         if self._connection is None or self.ended:
             return
         now = self._deps.timers.now()
         inactive_s = now - self.inactive_since
         busy = bool(self.pending)
-        timeout_s = BUSY_RECEIVE_TIMEOUT_S if busy else IDLE_RECEIVE_TIMEOUT_S
+        probe_after_s = BUSY_PROBE_S if busy else idle_probe_s
+        timeout_s = (
+            BUSY_RECEIVE_TIMEOUT_S
+            if busy
+            else idle_probe_s + PROBE_RESPONSE_TIMEOUT_S
+        )
         if inactive_s > timeout_s and self.probed_at > self.inactive_since:
             self.end("silent")
             return
         if not busy and now - self.last_call_at > MAX_IDLE_S:
             self.end("idle")
             return
-        probe_after_s = BUSY_PROBE_S if busy else IDLE_PROBE_S
         if inactive_s > probe_after_s and now - self.probed_at > probe_after_s:
             self.probed_at = now
             self._connection.send(
@@ -557,7 +574,7 @@
             return False
         return (
             self._deps.timers.now() - link.inactive_since
-            < IDLE_RECEIVE_TIMEOUT_S
+            < self._idle_probe_s + PROBE_RESPONSE_TIMEOUT_S
         )
 
     def queued_bytes(self) -> int:
@@ -570,8 +587,13 @@
             # As for an idle link, no loss is logged.
             link.end("idle")
 
+    @property
+    def _idle_probe_s(self) -> float:
+        return idle_probe_interval_s(len(self._links))
+
     def _check(self) -> None:
+        idle_probe_s = self._idle_probe_s
         for address, link in list(self._links.items()):
-            link.check()
+            link.check(idle_probe_s)
             if link.ended and self._links.get(address) is link:
                 del self._links[address]
--- a/flamingolug/gateway/tests/test_link.py
+++ b/flamingolug/gateway/tests/test_link.py
@@ -1,6 +1,7 @@
 """Queued bytes of a connection between two nodes."""
 
 import logging
+import types
 import unittest
 from typing import Any
 
@@ -71,3 +72,61 @@
         self.assertEqual(connection.queued_bytes, 0)
         with self.assertNoLogs("flamingolug.gateway"):
             connection.close()
+
+
+class ProbeTest(unittest.TestCase):
+    """Probes of links that carry no calls.
+
+    Pattern: probe budget. The probes of a node do not grow with its links.
+    """
+
+    def setUp(self) -> None:
+        self.time_s = 100.0
+        self.sent: list[_frames.Frame] = []
+        deps: Any = types.SimpleNamespace(
+            timers=types.SimpleNamespace(now=lambda: self.time_s),
+            metrics=types.SimpleNamespace(
+                counters=types.SimpleNamespace(add=lambda *names: None)
+            ),
+            version=lambda: 1,
+            entries_revision=lambda: 1,
+        )
+        # The link connects when this greenlet waits, which it never does.
+        self.link = _link.Link(("127.0.0.1", 1), deps)
+        connection: Any = types.SimpleNamespace(
+            send=self.sent.append, close=lambda: None
+        )
+        self.link._connection = connection
+
+    def check_for(self, duration_s: float, idle_probe_s: float) -> None:
+        """Checks the link each quarter of a second."""
+        ends_at = self.time_s + duration_s
+        while self.time_s < ends_at:
+            self.time_s += _link.CHECK_INTERVAL_S
+            self.link.check(idle_probe_s)
+
+    def test_probes_of_all_links_are_limited(self) -> None:
+        for links in (1, 16, 30, 100, 729):
+            with self.subTest(links=links):
+                interval_s = _link.idle_probe_interval_s(links)
+                self.assertGreaterEqual(interval_s, _link.IDLE_PROBE_S)
+                self.assertLessEqual(
+                    links / interval_s, _link.MAX_PROBES_PER_S + 1e-9
+                )
+
+    def test_few_links_are_probed_each_two_seconds(self) -> None:
+        self.assertEqual(_link.idle_probe_interval_s(16), _link.IDLE_PROBE_S)
+
+    def test_silent_link_ends_after_its_probe_and_not_before(self) -> None:
+        for idle_probe_s in (2.0, 12.0):
+            with self.subTest(idle_probe_s=idle_probe_s):
+                self.setUp()
+                self.check_for(idle_probe_s, idle_probe_s)
+                self.assertEqual(self.sent, [])
+                self.check_for(
+                    _link.PROBE_RESPONSE_TIMEOUT_S - 0.25, idle_probe_s
+                )
+                self.assertEqual(len(self.sent), 1)
+                self.assertFalse(self.link.ended)
+                self.check_for(1.0, idle_probe_s)
+                self.assertTrue(self.link.ended)
