Take the pressure of a service from every report of its gates

Cause: an entry took the pressure of each kind from the outcomes of that kind alone, and ended the windows of a kind when a request of it came. At 194 nodes that is once a second, at 730 once in three: the pressure decayed between reports, the kinds of a node compared themselves with states of seconds ago, and whether calls fail was known only to nodes that had lost one.

Change: kinds of one service share its pressure, which is recorded with every outcome and every status message of a link. Load reports carry the fraction of calls that expire at the bottleneck; an entry regulates by it too. One timer ends the windows of all kinds, the least urgent first. Gains 0.3 and 0.012 instead of 0.35 and 0.02; what one window cannot decrease is left for the next.

The test of a failing kind's decrease waits for the end of the settling time first, which its random failures may have begun; its bound is the same.

--- a/flamingolug/gateway/_admission.py
+++ b/flamingolug/gateway/_admission.py
@@ -33,8 +33,10 @@
 import random
 from collections.abc import Callable
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from flamingolug import telemetry
+from flamingolug.gateway import _pressure
 
 _LOGGER = logging.getLogger(__name__)
 #: Seconds between two changes of the probability; each such window contains
@@ -77,12 +79,6 @@
 #: Failure ratio above which a kind is regulated by the pressure of the called
 #: services; faults of single servers fail about one request in a hundred.
 MIN_FAILURE_RATIO = 0.03
-#: Time constant of the smoothed pressure, seconds.
-PRESSURE_TIME_CONSTANT_S = 0.15
-#: Factor by which the pressure decays over a window without a report. At a node
-#: with few requests the pressure halves in 2.4 seconds, and the probability
-#: grows again, so that new requests measure it.
-PRESSURE_DECAY = 0.93
 #: Set point of the controller: the calls waiting are a tenth of the slots, so
 #: that each free slot gets its next call at once and a call waits for a tenth
 #: of the time for which a call holds a slot.
@@ -96,8 +92,8 @@
 #: pressure has risen, and for each unit by which it exceeds its target. A
 #: change takes effect after half a second to a second; with twice the integral
 #: gain the probability oscillates in the simulated loads of the tests.
-PROPORTIONAL_GAIN = 0.35
-INTEGRAL_GAIN = 0.02
+PROPORTIONAL_GAIN = 0.3
+INTEGRAL_GAIN = 0.012
 #: Largest decrease and increase of the probability's logarithm in a window: at
 #: these rates the probability halves within two windows and doubles within
 #: seven.
@@ -111,47 +107,57 @@
 CALLER_RETRY_FACTOR = 3.0
 
 
+class Kind(NamedTuple):
+    """A kind of request."""
+
+    #: Route and service, for the log.
+    name: str = ""
+    #: Urgency; 0 is the most urgent.
+    rank: int = 1
+    #: Whether callers may repeat a request that has failed.
+    idempotent: bool = False
+
+
 class AdmissionController:
     """Decides which requests of one kind are admitted at this node."""
 
     def __init__(
         self,
         now: Callable[[], float],
-        name: str = "",
-        rank: int = 1,
+        service_pressure: _pressure.ServicePressure,
+        kind: Kind,
         all_controllers: Callable[[], "Iterable[AdmissionController]"] = tuple,
-        idempotent: bool = False,
     ) -> None:
         """Creates a controller that admits every request.
 
         Args:
             now: returns the clock reading in seconds.
-            name: route and service, for the log.
-            rank: urgency of the kind; 0 is the most urgent.
+            service_pressure: pressure of the service of the kind, which other
+                kinds may share.
+            kind: the kind of request.
             all_controllers: returns the controllers of all kinds at this
                 node, including this one.
-            idempotent: whether callers may repeat a request that has failed.
         """
-        self._idempotent = idempotent
         self.probability = 1.0
-        self.rank = rank
-        self._name = name
+        self.rank = kind.rank
+        self._idempotent = kind.idempotent
+        self._name = kind.name
         self._all_controllers = all_controllers
         self._regulated_until = 0.0
         self._now = now
-        self._window_ends = now() + WINDOW_S
+        #: When a request of the kind came last.
+        self._requested_at = now()
         self._settled_after = 0.0
         self._step = INITIAL_STEP
         self._success_count = 0.0
         self._failure_count = 0.0
-        self._pressure = 0.0
-        #: Service with that pressure, empty for none so far.
-        self._bottleneck = ""
-        #: Whether a pressure was reported in this window.
-        self._pressure_reported = False
+        self._service_pressure = service_pressure
         #: Pressure at the end of the previous window.
         self._previous_pressure = 0.0
-        self._pressure_recorded_at = self._outcome_recorded_at = now()
+        #: Decrease of the probability's logarithm beyond `MAX_DECREASE` that is
+        #: left for the next window.
+        self._deferred_decrease = 0.0
+        self._outcome_recorded_at = now()
         #: Smoothed fraction of outcomes that failed.
         self._failure_ratio = 0.0
 
@@ -163,7 +169,7 @@
                 caller.
             rng: source of the random decision.
         """
-        self._advance()
+        self._requested_at = self._now()
         probability = self.probability * (
             CALLER_RETRY_FACTOR if retried_by_caller else 1.0
         )
@@ -175,7 +181,6 @@
         Args:
             succeeded: whether it ended with a response below 500.
         """
-        self._advance()
         if succeeded:
             self._success_count += 1.0
         else:
@@ -190,39 +195,13 @@
             weight, FAILURE_SMOOTHING
         )
 
-    def record_pressure(self, pressure: float, bottleneck: str = "") -> None:
-        """Records the highest pressure in the call chain of a request.
-
-        Args:
-            pressure: the pressure.
-            bottleneck: service that has it, empty if the pressure is low.
-        """
-        if bottleneck:
-            self._bottleneck = bottleneck
-        now = self._now()
-        weight = _weight_after(
-            now - self._pressure_recorded_at, PRESSURE_TIME_CONSTANT_S
-        )
-        self._pressure_recorded_at = now
-        self._pressure += (pressure - self._pressure) * weight
-        self._pressure_reported = True
-
-    def _advance(self) -> None:
-        """Ends the windows that are over and adjusts the probability."""
+    def end_window(self) -> None:
+        """Ends a window of `WINDOW_S` and adjusts the probability."""
         now = self._now()
-        if now > self._window_ends + IDLE_RESET_S:
+        if now - self._requested_at > IDLE_RESET_S:
             self.probability = 1.0
             self._success_count = self._failure_count = 0.0
-            self._window_ends = now + WINDOW_S
-        while now >= self._window_ends:
-            self._window_ends += WINDOW_S
-            self._end_window()
-
-    def _end_window(self) -> None:
-        if not self._pressure_reported:
-            self._pressure *= PRESSURE_DECAY
-        self._pressure_reported = False
-        if self._window_ends < self._settled_after:
+        if now < self._settled_after:
             return
         outcomes = self._success_count + self._failure_count
         if (
@@ -231,7 +210,7 @@
             and self._pressure < QUEUEING_PRESSURE
         ):
             success_ratio = self._success_count / outcomes
-            self._settled_after = self._window_ends + SETTLING_TIME_S
+            self._settled_after = now + SETTLING_TIME_S
             self._find_least_urgent().multiply(success_ratio, self._name)
             self._success_count = self._failure_count = 0.0
             return
@@ -266,6 +245,16 @@
         )
         self._log("wasted", cause)
 
+    @property
+    def _pressure(self) -> float:
+        """Highest pressure in the call chains of the service."""
+        return self._service_pressure.ratio
+
+    @property
+    def _bottleneck(self) -> str:
+        """Service with that pressure, empty for none so far."""
+        return self._service_pressure.bottleneck
+
     @property
     def _pressed(self) -> bool:
         """Whether a called service has about as many calls as slots."""
@@ -281,7 +270,13 @@
                 yield other
 
     def _protects_failing_kind(self) -> bool:
-        """Returns whether this kind, or one as urgent in its group, fails."""
+        """Returns whether this kind, or one as urgent in its group, fails.
+
+        The bottleneck reports whether calls of any kind expire there, since a
+        node of a large fleet rarely sees one fail.
+        """
+        if self._service_pressure.expired_ratio > MIN_FAILURE_RATIO:
+            return True
         return any(
             each.rank <= self.rank and each._failure_ratio > MIN_FAILURE_RATIO
             for each in self._group()
@@ -307,9 +302,13 @@
         excess = self._pressure - TARGET_PRESSURE
         gain = INTEGRAL_GAIN * (1.0 + max(excess, 0.0))
         change = -(PROPORTIONAL_GAIN * pressure_rise + gain * excess)
-        self._regulated_until = self._window_ends + REGULATED_FOR_S
+        change -= self._deferred_decrease
+        self._deferred_decrease = 0.0
+        self._regulated_until = self._now() + REGULATED_FOR_S
         if self._must_yield(change < 0.0):
             return
+        # A rise of the pressure acts in full, if necessary in two windows.
+        self._deferred_decrease = max(-MAX_DECREASE - change, 0.0)
         factor = math.exp(max(min(change, MAX_INCREASE), -MAX_DECREASE))
         previous = self.probability
         self.probability = min(
@@ -364,11 +363,22 @@
             wasted=round(self._failure_ratio, 3),
             pressure=round(self._pressure, 2),
             bottleneck=self._bottleneck,
+            expired=round(self._service_pressure.expired_ratio, 3),
             cause=cause or self._name,
             rank=self.rank,
         )
 
 
+def end_windows(controllers: Iterable[AdmissionController]) -> None:
+    """Ends the window of all kinds of a node, the least urgent first.
+
+    So a kind decides with what less urgent ones have just decided, also where
+    a node gets a request of a kind only each few seconds.
+    """
+    for each in sorted(controllers, key=lambda each: -each.rank):
+        each.end_window()
+
+
 def _weight_after(elapsed_s: float, time_constant_s: float) -> float:
     """Returns the weight of a sample after a time without samples."""
     return 1.0 - math.exp(-elapsed_s / time_constant_s)
--- a/flamingolug/gateway/_frames.py
+++ b/flamingolug/gateway/_frames.py
@@ -68,6 +68,8 @@
     bottleneck: str = ""
     #: Longest chain of calls below the sender's service.
     chain_depth: int = 0
+    #: Calls of the bottleneck that could not end in time, in hundredths of all.
+    expired: int = 0
 
 
 class ResultFrame(msgspec.Struct, array_like=True, tag=3, frozen=True):
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -263,6 +263,7 @@
         pressure = _pressure.Pressure(
             (slots.running + sum(slots.waiting_by_rank)) / slots.limit,
             self._deps.cfg.identity.service,
+            slots.expired_ratio,
         )
         callees = self._deps.callee_pressure
         pressure = max(pressure, callees.highest())
@@ -276,6 +277,7 @@
             pressure.ratio,
             pressure.bottleneck if named else "",
             callees.chain_depth,
+            pressure.expired_ratio if named else 0.0,
         )
 
     def submit(
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -67,6 +67,7 @@
         frame.pressure / 100.0,
         frame.bottleneck,
         frame.chain_depth,
+        frame.expired / 100.0,
     )
 
 
@@ -81,6 +82,7 @@
         int(load.pressure * 100),
         load.bottleneck,
         load.chain_depth,
+        int(load.expired_ratio * 100),
     )
 
 
--- a/flamingolug/gateway/_model.py
+++ b/flamingolug/gateway/_model.py
@@ -161,6 +161,9 @@
     #: Longest chain of calls below the upstream's service, 0 for a service that
     #: calls none.
     chain_depth: int = 0
+    #: Fraction of the recent calls of the bottleneck that its gate refused
+    #: because they could not end in time, 0 to 1.
+    expired_ratio: float = 0.0
 
 
 class Outcome(NamedTuple):
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -117,6 +117,15 @@
         #: Ordinary successes since the start; a sample of them is logged.
         self._ordinary_successes = 0
 
+    def start(self) -> None:
+        """Starts the periodic adjustment of admission."""
+        self._deps.timers.every(
+            _admission.WINDOW_S,
+            lambda: _admission.end_windows(
+                self._admission_controllers.values()
+            ),
+        )
+
     def handle(
         self, state: _request_state.RequestState
     ) -> _request_state.Answer:
@@ -311,7 +320,8 @@
             return _model.unknown("timeout")
         pending.complete(outcome)
         if outcome.load is not None:
-            self._record_pressure(routed, outcome.load)
+            if routed.route.name in self._nested_routes:
+                self._deps.callee_pressure.record(routed.service, outcome.load)
             self._chain_depths[routed.service] = max(
                 outcome.load.chain_depth,
                 self._chain_depths.get(routed.service, 0),
@@ -324,17 +334,6 @@
             self._nested_routes.discard(routed.route.name)
         return outcome
 
-    def _record_pressure(
-        self, routed: _RoutedRequest, load: _model.LoadReport
-    ) -> None:
-        """Records the pressure that a gate reports with an outcome."""
-        if routed.route.name not in self._nested_routes:
-            self._admission_controller_of(routed).record_pressure(
-                load.pressure, load.bottleneck
-            )
-            return
-        self._deps.callee_pressure.record(routed.service, load)
-
     def _find_stop_reason(
         self,
         state: _request_state.RequestState,
@@ -550,10 +549,11 @@
         if controller is None:
             controller = _admission.AdmissionController(
                 self._now,
-                key,
-                routed.route.rank,
+                self._deps.upstreams.pressures.of(routed.service),
+                _admission.Kind(
+                    key, routed.route.rank, routed.route.idempotent
+                ),
                 self._admission_controllers.values,
-                routed.route.idempotent,
             )
             self._admission_controllers[key] = controller
         return controller
--- a/flamingolug/gateway/_slots.py
+++ b/flamingolug/gateway/_slots.py
@@ -21,6 +21,8 @@
 MIN_REMAINING_FRACTION = 0.5
 #: Weight of a new sample in the mean hold time.
 HOLD_SMOOTHING = 0.05
+#: Weight of a new sample in the fraction of calls that could not end in time.
+EXPIRED_SMOOTHING = 0.05
 #: Hold time assumed before the first call has finished, seconds.
 INITIAL_HOLD_S = 0.1
 
@@ -90,6 +92,9 @@
         self.usual_hold_s = INITIAL_HOLD_S
         #: Number of waiting calls by rank.
         self.waiting_by_rank = [0] * REPORTED_RANKS
+        #: Smoothed fraction of calls that were refused because they could not
+        #: start or end in time.
+        self.expired_ratio = 0.0
         self._now = now
         self._slowness = slowness
         self._queue: list[_QueueEntry] = []
@@ -110,6 +115,7 @@
         now = self._now()
         call = ticket.call
         if call.deadline - now < self.hold_s * MIN_REMAINING_FRACTION:
+            self._record_decision(expired=True)
             return False
         if self.running < self.limit and not self._queue:
             self._start(ticket, now)
@@ -120,6 +126,7 @@
             call.deadline - self.hold_s * MIN_REMAINING_FRACTION,
         )
         if now + wait_s > start_by:
+            self._record_decision(expired=True)
             return False
         ticket.waiting = True
         self.waiting_by_rank[min(call.rank, REPORTED_RANKS - 1)] += 1
@@ -177,6 +184,7 @@
             self._remove_waiting(ticket)
             min_remaining_s = self.hold_s * MIN_REMAINING_FRACTION
             if ticket.call.deadline - now < min_remaining_s:
+                self._record_decision(expired=True)
                 ticket.on_decision(False)
                 continue
             self._start(ticket, now)
@@ -208,6 +216,7 @@
             self._queue = remaining
         for ticket in expired:
             self._remove_waiting(ticket)
+            self._record_decision(expired=True)
             ticket.on_decision(False)
 
     def refuse_all(self) -> None:
@@ -222,6 +231,12 @@
         ticket.running = True
         ticket.started_at = now
         self.running += 1
+        self._record_decision(expired=False)
+
+    def _record_decision(self, expired: bool) -> None:
+        """Counts a call that started, or that could not end in time."""
+        sample = 1.0 if expired else 0.0
+        self.expired_ratio += (sample - self.expired_ratio) * EXPIRED_SMOOTHING
 
     def _remove_waiting(self, ticket: Ticket) -> None:
         ticket.waiting = False
--- a/flamingolug/gateway/_upstreams.py
+++ b/flamingolug/gateway/_upstreams.py
@@ -12,6 +12,7 @@
 from flamingolug.gateway import _gate
 from flamingolug.gateway import _link
 from flamingolug.gateway import _model
+from flamingolug.gateway import _pressure
 
 #: Seconds for which an upstream is ejected, which means chosen only if all are,
 #: by the reason of a failed call. An upstream that its node no longer reports
@@ -113,6 +114,8 @@
 
     def __init__(self, deps: Dependencies) -> None:
         """Creates an instance without statistics."""
+        #: Pressure of each service, from outcomes and status messages.
+        self.pressures = _pressure.ServicePressures(deps.timers.now)
         self._deps = deps
         self._now = deps.timers.now
         self._stats: dict[str, _UpstreamStats] = {}
@@ -283,6 +286,9 @@
             stats.reported_at = now
             stats.sent_since_report = 0
             stats.ejected_until = 0.0
+            upstream = self._deps.directory.find(upstream_id)
+            if upstream is not None:
+                self._record_pressure(upstream.service, load)
 
     def is_confirmed(self, upstream: _model.Upstream) -> bool:
         """Returns whether a live link reports an upstream as available."""
@@ -320,6 +326,7 @@
             stats.load = outcome.load
             stats.reported_at = now
             stats.sent_since_report = 0
+            self._record_pressure(service, outcome.load)
             hold_s = self._hold_times_s.get(service, outcome.load.hold_s)
             self._hold_times_s[service] = (
                 hold_s + (outcome.load.hold_s - hold_s) * LATENCY_SMOOTHING
@@ -334,6 +341,13 @@
                 + (now - sent_at - typical_latency_s) * LATENCY_SMOOTHING
             )
 
+    def _record_pressure(self, service: str, load: _model.LoadReport) -> None:
+        self.pressures.of(service).record(
+            _pressure.Pressure(
+                load.pressure, load.bottleneck, load.expired_ratio
+            )
+        )
+
     def _stats_of(self, upstream_id: str) -> _UpstreamStats:
         stats = self._stats.get(upstream_id)
         if stats is None:
--- a/flamingolug/gateway/tests/test_admission_load.py
+++ b/flamingolug/gateway/tests/test_admission_load.py
@@ -13,6 +13,8 @@
 from typing import NamedTuple
 
 from flamingolug.gateway import _admission
+from flamingolug.gateway import _pressure
+from flamingolug.gateway import _slots
 
 _NODES = 14
 #: Nodes of a large deployment, each of which gets a small part of the load.
@@ -20,9 +22,20 @@
 #: Nodes of a large fleet, each of which sees about one request of a kind in a
 #: second.
 _LARGE_FLEET_NODES = 194
+#: Nodes at the next size and at the size to design for. A node of the largest
+#: fleet sees one request of a kind in three seconds.
+_LARGER_FLEETS = (300, 730)
 #: Slots of the overloaded service, and the mean time for which a call holds one
 #: of them.
 _SLOTS, _HOLD_S = 78, 0.05
+#: Seconds between status messages of the gates of one service that a node
+#: receives; a node with links to ten of them receives one each 0.2 s.
+_STATUS_INTERVAL_S = 0.5
+#: Intervals of events at each node, seconds.
+_PERIODIC_EVENTS = {
+    "status": _STATUS_INTERVAL_S,
+    "window": _admission.WINDOW_S,
+}
 #: Number of calls that one request makes, one after the other.
 _CALLS = 5
 #: Fraction of the requests that fail for other reasons.
@@ -90,11 +103,18 @@
         self._ranks = ranks
         #: One controller for each kind at each node.
         self._admission_controllers: list[_admission.AdmissionController] = []
-        for _ in range(nodes):
+        #: Pressure of the service as each node knows it.
+        self._pressures = [
+            _pressure.ServicePressure(lambda: self.now) for _ in range(nodes)
+        ]
+        for service_pressure in self._pressures:
             kinds: list[_admission.AdmissionController] = []
             kinds += [
                 _admission.AdmissionController(
-                    lambda: self.now, "", rank, kinds.copy
+                    lambda: self.now,
+                    service_pressure,
+                    _admission.Kind(rank=rank),
+                    kinds.copy,
                 )
                 for rank in ranks
             ]
@@ -121,6 +141,8 @@
             collections.deque()
         )
         self._running = 0
+        #: Smoothed fraction of calls that start too late.
+        self._expired_ratio = 0.0
         self._completed = 0
         self._waits: list[float] = []
 
@@ -138,6 +160,10 @@
                 controller_index,
                 _Request(0.0, 0),
             )
+        for node in range(len(self._pressures)):
+            for event, interval_s in _PERIODIC_EVENTS.items():
+                first_s = self._rng.uniform(0.0, interval_s)
+                self._schedule(first_s, event, node, _Request(0.0, 0))
         while self._events:
             self.now, _, event, controller_index, req = heapq.heappop(
                 self._events
@@ -146,6 +172,8 @@
                 break
             if event == "new":
                 self._handle_arrival(controller_index)
+            elif event in _PERIODIC_EVENTS:
+                self._handle_periodic(event, controller_index)
             elif event == "call":
                 self._handle_call(controller_index, req)
             else:
@@ -208,6 +236,10 @@
         self, controller_index: int, req: _Request, since: float
     ) -> None:
         self._running += 1
+        expired = float(self._is_over_time(controller_index, req))
+        self._expired_ratio += (
+            expired - self._expired_ratio
+        ) * _slots.EXPIRED_SMOOTHING
         if self.now > _SETTLING_S:
             self._waits.append(self.now - since)
         self._schedule(
@@ -228,14 +260,32 @@
             self._schedule(0.001, "call", controller_index, left)
             return
         admission_controller = self._admission_controllers[controller_index]
-        admission_controller.record_pressure(
-            (self._running + len(self._waiting)) / _SLOTS, "leaf"
-        )
+        self._record_pressure(controller_index // len(self._ranks))
         succeeded = self._succeeds(controller_index, req)
         admission_controller.record_outcome(succeeded)
         if self.now > _SETTLING_S and succeeded:
             self.succeeded[self._rank_of(controller_index)] += 1
 
+    def _handle_periodic(self, event: str, node: int) -> None:
+        """Handles a status message to a node or the end of its window."""
+        self._schedule(_PERIODIC_EVENTS[event], event, node, _Request(0.0, 0))
+        if event == "status":
+            self._record_pressure(node)
+            return
+        first = node * len(self._ranks)
+        _admission.end_windows(
+            self._admission_controllers[first : first + len(self._ranks)]
+        )
+
+    def _record_pressure(self, node: int) -> None:
+        self._pressures[node].record(
+            _pressure.Pressure(
+                (self._running + len(self._waiting)) / _SLOTS,
+                "leaf",
+                self._expired_ratio,
+            )
+        )
+
     def _rank_of(self, controller_index: int) -> int:
         return self._ranks[controller_index % len(self._ranks)]
 
@@ -291,7 +341,7 @@
         )
 
     def test_kinds_with_long_deadlines_yield_to_more_urgent_ones(self) -> None:
-        for nodes in (_NODES, _MANY_NODES):
+        for nodes in (_NODES, _MANY_NODES, *_LARGER_FLEETS):
             with self.subTest(nodes=nodes):
                 self.check_order_of_kinds_with_different_deadlines(nodes)
 
@@ -302,7 +352,7 @@
         self,
     ) -> None:
         """The pressure decays, so that refusals end without new reports."""
-        for nodes in (_NODES, _MANY_NODES):
+        for nodes in (_NODES, _MANY_NODES, _LARGE_FLEET_NODES, *_LARGER_FLEETS):
             with self.subTest(nodes=nodes):
                 overload_ends_s = 15
                 simulation = _Simulation(
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -9,6 +9,7 @@
 from flamingolug.gateway import _budget
 from flamingolug.gateway import _call_origins
 from flamingolug.gateway import _model
+from flamingolug.gateway import _pressure
 from flamingolug.gateway import _slots
 
 
@@ -353,11 +354,19 @@
     def setUp(self) -> None:
         self.clock = Clock()
         self.rng = random.Random(5)
+        self.service_pressure = _pressure.ServicePressure(self.clock.now)
         self.admission_controller = _admission.AdmissionController(
-            self.clock.now
+            self.clock.now, self.service_pressure, _admission.Kind()
         )
         self.pressure = 0.0
 
+    def advance(self, seconds: float) -> None:
+        """Advances the clock and ends the windows that are over."""
+        windows = int(self.clock.time_s / _admission.WINDOW_S)
+        self.clock.time_s += seconds
+        if int(self.clock.time_s / _admission.WINDOW_S) > windows:
+            _admission.end_windows([self.admission_controller])
+
     def run_load(
         self, seconds: float, success_ratio: float, per_s: int = 20
     ) -> float:
@@ -365,11 +374,11 @@
         admitted = 0
         count = int(seconds * per_s)
         for _ in range(count):
-            self.clock.time_s += 1.0 / per_s
+            self.advance(1.0 / per_s)
             if self.admission_controller.refuse(False, self.rng):
                 continue
             admitted += 1
-            self.admission_controller.record_pressure(self.pressure)
+            self.record_pressure(self.pressure)
             self.admission_controller.record_outcome(
                 self.rng.random() < success_ratio
             )
@@ -385,10 +394,16 @@
         self.run_load(5.0, 0.05)
         self.assertLess(self.run_load(5.0, 0.05), 0.25)
 
+    def record_pressure(self, ratio: float) -> None:
+        """Records a pressure that a gate reports."""
+        self.service_pressure.record(_pressure.Pressure(ratio, ""))
+
     def make_idempotent(self, pressure: float) -> None:
         """Replaces the controller by one of an idempotent kind."""
         self.admission_controller = _admission.AdmissionController(
-            self.clock.now, idempotent=True
+            self.clock.now,
+            self.service_pressure,
+            _admission.Kind(idempotent=True),
         )
         self.pressure = pressure
 
@@ -422,17 +437,20 @@
         self,
     ) -> None:
         self.run_load(3.0, 0.7)
+        # The settling time after a decrease that failures caused.
+        for _ in range(4):
+            self.advance(_admission.WINDOW_S)
         self.admission_controller.probability = 1.0
         for _ in range(40):
-            self.clock.time_s += 0.05
-            self.admission_controller.record_pressure(2.0)
+            self.record_pressure(2.0)
+            self.advance(0.05)
             self.admission_controller.refuse(False, self.rng)
         self.assertLess(self.admission_controller.probability, 0.5)
 
     def test_pressure_does_not_affect_successful_requests(self) -> None:
         for _ in range(40):
-            self.clock.time_s += 0.05
-            self.admission_controller.record_pressure(5.0)
+            self.advance(0.05)
+            self.record_pressure(5.0)
             self.admission_controller.record_outcome(True)
             self.assertFalse(self.admission_controller.refuse(False, self.rng))
 
--- a/flamingolug/gateway/tests/test_pressure.py
+++ b/flamingolug/gateway/tests/test_pressure.py
@@ -8,6 +8,7 @@
 from flamingolug.gateway import _link
 from flamingolug.gateway import _model
 from flamingolug.gateway import _pressure
+from flamingolug.gateway import _slots
 from flamingolug.gateway.tests import test_decisions
 
 
@@ -54,3 +55,56 @@
         load = make_load(1.25, "leaf", 2)
         frame = _link.load_to_frame(load)
         self.assertEqual(_link.load_from_frame(frame), load)
+
+
+class ServicePressureTest(unittest.TestCase):
+    """Pressure of a service at an entry, from all reports of its gates."""
+
+    def setUp(self) -> None:
+        self.clock = test_decisions.Clock()
+        self.pressures = _pressure.ServicePressures(self.clock.now)
+
+    def test_kinds_of_one_service_share_its_pressure(self) -> None:
+        self.clock.time_s += 1.0
+        self.pressures.of("s").record(_pressure.Pressure(2.0, "leaf", 0.5))
+        shared = self.pressures.of("s")
+        self.assertAlmostEqual(shared.ratio, 2.0, 1)
+        self.assertEqual(shared.bottleneck, "leaf")
+        self.assertEqual(shared.expired_ratio, 0.5)
+        self.assertEqual(self.pressures.of("other").ratio, 0.0)
+
+    def test_pressure_halves_while_no_gate_reports(self) -> None:
+        pressure = self.pressures.of("s")
+        self.clock.time_s += 1.0
+        pressure.record(_pressure.Pressure(2.0, "leaf"))
+        self.clock.time_s += _pressure.SILENCE_S
+        before = pressure.ratio
+        self.clock.time_s += _pressure.HALF_LIFE_S
+        self.assertAlmostEqual(pressure.ratio, before / 2.0)
+
+    def test_report_replaces_a_pressure_that_has_decayed(self) -> None:
+        pressure = self.pressures.of("s")
+        self.clock.time_s += 1.0
+        pressure.record(_pressure.Pressure(4.0, "leaf", 0.5))
+        self.clock.time_s += 2.0
+        pressure.record(_pressure.Pressure(0.2, ""))
+        self.assertLess(pressure.ratio, 0.21)
+        self.assertEqual(pressure.expired_ratio, 0.0)
+
+
+class ExpiredCallsTest(unittest.TestCase):
+    """Calls that a gate refuses since they cannot end in time."""
+
+    def test_only_calls_that_cannot_end_in_time_count(self) -> None:
+        clock = test_decisions.Clock()
+        slots = _slots.Slots(1, clock.now)
+        for _ in range(50):
+            call = test_decisions.make_call()
+            ticket = _slots.Ticket(call)
+            self.assertTrue(slots.try_start(ticket))
+            slots.release(ticket, False)
+        self.assertEqual(slots.expired_ratio, 0.0)
+        for _ in range(50):
+            call = test_decisions.make_call(remaining_s=0.001)
+            self.assertIs(slots.try_start(_slots.Ticket(call)), False)
+        self.assertGreater(slots.expired_ratio, 0.9)
