Expect of upstreams without reports what others of their zone report

Cause: an upstream whose last report is older than two seconds counted as empty. A node of a large fleet has recent reports of a few upstreams only, so it kept offering calls to its own zone while that was full.

Ruled out: more upstreams compared, more offers. At 728 nodes none of a zone's 182 upstreams is known; comparing more of them compares guesses.

Change: each node keeps the mean load that the upstreams of a service and zone report. It stands in for the missing part of a report's weight, and falls to 0 within two seconds without reports, so that the zone is tried again.

--- a/flamingolug/gateway/_balance.py
+++ b/flamingolug/gateway/_balance.py
@@ -54,6 +54,9 @@
     age_s: float
     #: Calls that this node has sent since `load` was reported.
     sent_since_report: int
+    #: Ratio of running and waiting calls to the limit to expect without a
+    #: recent report: the mean of the upstreams of its service and zone.
+    expected_load: float
     #: Whether the upstream recently refused or lost a call or was
     #: unreachable, and its ejection has not ended.
     ejected: bool
@@ -96,17 +99,22 @@
     cost = 0.0 if candidate.own_zone else ZONE_COST
     delay_s = 0.0 if candidate.own_zone else 2 * ZONE_DELAY_S
     limit = max(candidate.upstream.slots, 1)
-    in_flight = float(candidate.outstanding)
+    in_flight = max(
+        float(candidate.outstanding), candidate.expected_load * limit
+    )
     # An upstream without a load report is assumed to have the mean speed.
     slowness = 1.0
     if load is not None:
         limit = max(load.limit, 1)
         report_weight = max(1.0 - candidate.age_s / MAX_REPORT_AGE_S, 0.0)
         ahead = sum(load.waiting[: profile.rank + 1])
+        expected = candidate.expected_load * limit
         reported = (
-            load.running + ahead
-        ) * report_weight + candidate.sent_since_report
-        in_flight = max(reported, in_flight)
+            expected
+            + (load.running + ahead - expected) * report_weight
+            + candidate.sent_since_report
+        )
+        in_flight = max(reported, float(candidate.outstanding))
         slowness = load.hold_s / mean_hold_s
         cost += FAILURE_COST * load.failure_ratio**2
     wait_s = max(in_flight + 1.0 - limit, 0.0) * slowness * mean_hold_s / limit
--- a/flamingolug/gateway/_upstreams.py
+++ b/flamingolug/gateway/_upstreams.py
@@ -1,5 +1,6 @@
 """Tracks the load of upstreams, chooses among them and sends them calls."""
 
+import math
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -38,6 +39,10 @@
 #: Weight of a new sample in the smoothed latency of a route and in the smoothed
 #: hold time of a service.
 LATENCY_SMOOTHING = 0.05
+#: Lowest weight of a report in the mean load of a zone, and the time constant
+#: of that mean, seconds, where reports are rare.
+ZONE_LOAD_SMOOTHING = 0.05
+ZONE_LOAD_TIME_CONSTANT_S = 0.5
 #: Latency assumed of a route before its first answer, seconds.
 INITIAL_LATENCY_S = 0.2
 #: Hold time assumed of a service before its first load report, seconds.
@@ -98,6 +103,36 @@
         self.ejected_until = 0.0
 
 
+class _ZoneLoad:
+    """Mean load of the upstreams of one service in one availability zone.
+
+    A node of a large fleet has recent reports of few upstreams, but those tell
+    how full the others are.
+    """
+
+    def __init__(self) -> None:
+        """Creates a load of 0 without reports."""
+        self._mean = 0.0
+        self._reported_at = -math.inf
+
+    def value(self, now: float) -> float:
+        """Returns the ratio of running and waiting calls to the limit.
+
+        It falls to 0 while no upstream reports, so that some are tried again.
+        """
+        age_s = now - self._reported_at
+        return self._mean * max(1.0 - age_s / _balance.MAX_REPORT_AGE_S, 0.0)
+
+    def record(self, load: _model.LoadReport, now: float) -> None:
+        """Records the report of one upstream."""
+        ratio = (load.running + sum(load.waiting)) / max(load.limit, 1)
+        weight = 1.0 - math.exp(
+            (self._reported_at - now) / ZONE_LOAD_TIME_CONSTANT_S
+        )
+        self._mean += (ratio - self._mean) * max(weight, ZONE_LOAD_SMOOTHING)
+        self._reported_at = now
+
+
 class Dependencies(NamedTuple):
     """Dependencies of `Upstreams`."""
 
@@ -124,6 +159,8 @@
         #: Smoothed hold time of the upstreams of each service, from the load
         #: reports in outcomes.
         self._hold_times_s: dict[str, float] = {}
+        #: Mean load by service and zone.
+        self._zone_loads: dict[tuple[str, str], _ZoneLoad] = {}
         #: Upstream that accepts calls beside the node at an address, as the
         #: node reported last; empty for none.
         self._upstream_ids: dict[tuple[str, int], str] = {}
@@ -209,6 +246,7 @@
             stats.load,
             now - stats.reported_at,
             stats.sent_since_report,
+            self._zone_load_of(upstream).value(now),
             now < stats.ejected_until,
         )
 
@@ -233,9 +271,7 @@
         def finish(outcome: _model.Outcome | None) -> None:
             stats.outstanding -= 1
             if outcome is not None:
-                self._record_outcome(
-                    upstream.service, route, stats, outcome, sent_at
-                )
+                self._record_outcome(upstream, route, stats, outcome, sent_at)
 
         cfg = self._deps.cfg
         if (upstream.host, upstream.port) == cfg.link:
@@ -288,7 +324,7 @@
             stats.ejected_until = 0.0
             upstream = self._deps.directory.find(upstream_id)
             if upstream is not None:
-                self._record_pressure(upstream.service, load)
+                self._record_load(upstream, load, now)
 
     def is_confirmed(self, upstream: _model.Upstream) -> bool:
         """Returns whether a live link reports an upstream as available."""
@@ -315,7 +351,7 @@
 
     def _record_outcome(
         self,
-        service: str,
+        upstream: _model.Upstream,
         route: _model.Route,
         stats: _UpstreamStats,
         outcome: _model.Outcome,
@@ -326,7 +362,8 @@
             stats.load = outcome.load
             stats.reported_at = now
             stats.sent_since_report = 0
-            self._record_pressure(service, outcome.load)
+            self._record_load(upstream, outcome.load, now)
+            service = upstream.service
             hold_s = self._hold_times_s.get(service, outcome.load.hold_s)
             self._hold_times_s[service] = (
                 hold_s + (outcome.load.hold_s - hold_s) * LATENCY_SMOOTHING
@@ -341,13 +378,25 @@
                 + (now - sent_at - typical_latency_s) * LATENCY_SMOOTHING
             )
 
-    def _record_pressure(self, service: str, load: _model.LoadReport) -> None:
-        self.pressures.of(service).record(
+    def _record_load(
+        self, upstream: _model.Upstream, load: _model.LoadReport, now: float
+    ) -> None:
+        """Records what a report tells of other upstreams too."""
+        self._zone_load_of(upstream).record(load, now)
+        self.pressures.of(upstream.service).record(
             _pressure.Pressure(
                 load.pressure, load.bottleneck, load.expired_ratio
             )
         )
 
+    def _zone_load_of(self, upstream: _model.Upstream) -> _ZoneLoad:
+        key = (upstream.service, upstream.zone)
+        zone_load = self._zone_loads.get(key)
+        if zone_load is None:
+            zone_load = _ZoneLoad()
+            self._zone_loads[key] = zone_load
+        return zone_load
+
     def _stats_of(self, upstream_id: str) -> _UpstreamStats:
         stats = self._stats.get(upstream_id)
         if stats is None:
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -161,7 +161,7 @@
         load.get("failure_ratio", 0.0),
     )
     return _balance.Candidate(
-        upstream, own, int(load.get("running", 0)), report, 0.0, 0, False
+        upstream, own, int(load.get("running", 0)), report, 0.0, 0, 0.0, False
     )
 
 
--- a/flamingolug/gateway/tests/test_upstreams.py
+++ b/flamingolug/gateway/tests/test_upstreams.py
@@ -13,6 +13,7 @@
 from typing import cast
 
 from flamingolug import store
+from flamingolug.gateway import _balance
 from flamingolug.gateway import _directory
 from flamingolug.gateway import _model
 from flamingolug.gateway import _upstreams
@@ -128,3 +129,21 @@
         node.upstreams._is_replaced = is_replaced  # type: ignore[method-assign]
         node.choose()
         self.assertLessEqual(len(checked), _upstreams.MAX_CANDIDATES)
+
+    def test_upstreams_without_reports_count_as_full_as_their_zone(
+        self,
+    ) -> None:
+        """Pattern: mean of a zone as the prior of an unknown upstream."""
+        node = _Node(60, 60)
+        load = _model.LoadReport(10, 10, (0, 0, 0, 0), 0.1, 0.0)
+        for number in range(10):
+            upstream = node.directory.find(f"u{number}")
+            assert upstream is not None
+            node.upstreams._record_load(upstream, load, node.time_s)
+        own_zone = {f"u{number}" for number in range(60)}
+        chosen = {node.choose() for _ in range(200)}
+        self.assertFalse(chosen & own_zone)
+        # Silence opens the zone again.
+        node.time_s += _balance.MAX_REPORT_AGE_S
+        chosen = {node.choose() for _ in range(200)}
+        self.assertLessEqual(chosen, own_zone)
