Do not refuse partly failing requests while slots are free

Ruled out: refusing earlier, so that the retry budget suffices for what is admitted. With k calls a request, of which a part p is refused and a part b may be retried, the served fraction a * (1 - p + b * (1 - p) / a) ^ k hardly depends on the admitted fraction a (0.25 to 0.27 for p = 0.4, k = 4, b = 0.2).

Change: without pressure a kind is decreased only while hardly any request succeeds (more than 0.85 fail), and again while more than 0.6 fail. A refused caller then comes back when the trouble may have ended. Under pressure as before.

Evidence: test_half_failing_requests_are_admitted_while_slots_are_free fails before at both success ratios; nearly always failing kinds are refused as before (test_failing_requests_are_refused_at_the_entry).

--- a/flamingolug/gateway/_admission.py
+++ b/flamingolug/gateway/_admission.py
@@ -19,9 +19,10 @@
 - When too many requests fail, the probability is multiplied by the fraction
   that succeeded, at most once in each `SETTLING_TIME_S`. Under pressure this
   applies to the least urgent kind of the group that is still admitted. Without
-  pressure, failing work displaces no other, so a third of an idempotent kind is
-  always admitted: its callers may repeat what fails. A non-idempotent kind is
-  refused further, since only a refused request may come back.
+  pressure, failing work displaces no other, and only a kind of which hardly any
+  request succeeds is refused: its callers come back when the trouble may have
+  ended. A third of an idempotent kind is admitted even then, since callers may
+  repeat what fails.
 - The probability then grows slowly at first and faster later. So it stays near
   what can be served and is back at 1 at most about four seconds after failures
   end, or later if a high pressure first has to decay. Requests that are refused
@@ -42,9 +43,15 @@
 #: Seconds between two changes of the probability; each such window contains
 #: several outcomes.
 WINDOW_S = 0.25
-#: Fraction of finished requests that may fail before the probability
-#: decreases. The failures of a single faulty upstream stay below it.
+#: Fraction of finished requests that may fail under pressure before the
+#: probability decreases. Those of a single faulty upstream stay below it.
 TOLERATED_FAILURE_RATIO = 0.2
+#: The same while the called services have free slots, before and after a first
+#: decrease. An attempt then displaces nothing, so a request is refused only if
+#: its next one, seconds later, is more likely to succeed because the trouble
+#: has ended.
+FREE_TOLERATED_FAILURE_RATIO = 0.85
+FREE_RECOVERY_FAILURE_RATIO = 0.6
 #: Seconds without another change after a decrease that failures caused:
 #: requests admitted before it take about that long to succeed or fail.
 SETTLING_TIME_S = 0.75
@@ -206,7 +213,7 @@
         outcomes = self._success_count + self._failure_count
         if (
             self._failure_count
-            > TOLERATED_FAILURE_RATIO * outcomes + FAILURE_ALLOWANCE
+            > self._tolerated_ratio() * outcomes + FAILURE_ALLOWANCE
             and self._pressure < QUEUEING_PRESSURE
         ):
             success_ratio = self._success_count / outcomes
@@ -228,6 +235,14 @@
         self._success_count *= OUTCOME_DECAY
         self._failure_count *= OUTCOME_DECAY
 
+    def _tolerated_ratio(self) -> float:
+        """Returns the fraction of outcomes that may fail."""
+        if self._pressed:
+            return TOLERATED_FAILURE_RATIO
+        if self.probability < 1.0:
+            return FREE_RECOVERY_FAILURE_RATIO
+        return FREE_TOLERATED_FAILURE_RATIO
+
     def multiply(self, factor: float, cause: str) -> None:
         """Decreases the probability since requests fail.
 
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -390,6 +390,24 @@
     def test_few_failures_do_not_reduce_admission(self) -> None:
         self.assertGreater(self.run_load(20.0, 0.9), 0.9)
 
+    def test_half_failing_requests_are_admitted_while_slots_are_free(
+        self,
+    ) -> None:
+        """Pattern: a called service refuses a part of its calls.
+
+        Each admitted request has a chance, and no other would get its slots.
+        """
+        for success_ratio in (0.5, 0.3):
+            with self.subTest(success_ratio=success_ratio):
+                self.setUp()
+                self.pressure = 0.5
+                self.assertGreater(self.run_load(15.0, success_ratio), 0.95)
+
+    def test_half_failing_requests_are_refused_under_pressure(self) -> None:
+        self.pressure = 1.2
+        self.run_load(5.0, 0.5)
+        self.assertLess(self.run_load(5.0, 0.5), 0.6)
+
     def test_failing_requests_are_refused_at_the_entry(self) -> None:
         self.run_load(5.0, 0.05)
         self.assertLess(self.run_load(5.0, 0.05), 0.25)
