Detect nested routes by the requests expected of each service

Each outcome is a vote at the entry. A chain depth that was too high falls with further reports.

Evidence: test_requests_of_callers_are_not_nested_beside_small_services, test_nested_route_is_detected_after_few_calls and test_gates_that_have_not_detected_it_do_not_outvote_others fail before.

--- a/flamingolug/gateway/_call_origins.py
+++ b/flamingolug/gateway/_call_origins.py
@@ -5,20 +5,26 @@
 called by those services while they process requests of their own.
 """
 
-from collections.abc import Collection
+from collections.abc import Mapping
 
-#: Calls of a route that are required for a decision. After so many calls, the
-#: probability that a service with a fifth of all instances counts as absent by
-#: chance is about 1 in 700; with five services, a service counts as absent if
-#: it made at most one call.
-MIN_DECISION_CALLS = 40
+#: Calls of a service that must be expected before it can count as absent. A
+#: service that makes its part of the calls then counts as absent by chance once
+#: in 150 decisions.
+MIN_EXPECTED_CALLS = 5.0
 #: Calls after which the counts are halved, so that a route whose callers change
 #: is detected.
 WINDOW_CALLS = 2000
-#: Ratio of the calls of one service to the mean of all services below which the
+#: Ratio of the calls of one service to those expected of it below which the
 #: service counts as absent. It is above zero because tests of the configuration
 #: occasionally reach every node.
 MIN_PRESENCE_RATIO = 0.2
+#: Part of all upstreams that the absent services must have together. A small
+#: service may have no upstream in the zones from which calls come.
+MIN_ABSENT_PART = 0.12
+#: Votes for a route above which it counts as nested at an entry, and the
+#: highest number of votes that is kept.
+MIN_VOTES = 2
+MAX_VOTES = 8
 
 
 class CallOrigins:
@@ -41,16 +47,47 @@
                 total += counts[name]
         self._totals[route] = total
 
-    def is_nested(self, route: str, services: Collection[str]) -> bool:
+    def is_nested(self, route: str, upstreams: Mapping[str, int]) -> bool:
         """Returns whether the calls of a route come from backend servers.
 
+        Callers are expected in proportion to the upstreams, since there is a
+        node beside each.
+
         Args:
             route: name of the route.
-            services: all services that have an upstream.
+            upstreams: number of upstreams of each service.
         """
         total = self._totals.get(route, 0)
-        if total < MIN_DECISION_CALLS or len(services) < 2:
+        if total < MIN_EXPECTED_CALLS or len(upstreams) < 2:
             return False
         counts = self._counts[route]
-        min_calls = MIN_PRESENCE_RATIO * total / len(services)
-        return any(counts.get(service, 0) < min_calls for service in services)
+        all_upstreams = sum(upstreams.values())
+        absent = 0
+        for service, count in upstreams.items():
+            expected = total * count / all_upstreams
+            if expected < MIN_EXPECTED_CALLS:
+                continue
+            if counts.get(service, 0) < MIN_PRESENCE_RATIO * expected:
+                absent += count
+        return absent > MIN_ABSENT_PART * all_upstreams
+
+
+class NestedRoutes:
+    """Routes that the gates of upstreams report as nested.
+
+    Each outcome is a vote. In a large fleet a gate gets few calls of a route,
+    so some gates have not detected yet what others have.
+    """
+
+    def __init__(self) -> None:
+        """Creates an instance without votes."""
+        self._votes: dict[str, int] = {}
+
+    def contains(self, route: str) -> bool:
+        """Returns whether a route is nested."""
+        return self._votes.get(route, 0) >= MIN_VOTES
+
+    def record(self, route: str, nested: bool) -> None:
+        """Counts the vote of a gate."""
+        votes = self._votes.get(route, 0) + (1 if nested else -1)
+        self._votes[route] = min(max(votes, 0), MAX_VOTES)
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Mapping
 from typing import NamedTuple
 
 import gevent
@@ -151,6 +152,7 @@
         #: Keys of the entries of each node by the node's address for links.
         self._keys_by_address: dict[tuple[str, int], set[str]] = {}
         self._entries_by_service: dict[str, EntriesByZone] = {}
+        self._upstream_counts: dict[str, int] = {}
         self._index_outdated = False
 
     def start(self) -> None:
@@ -192,6 +194,11 @@
         """Returns the names of all services that have an entry."""
         return self._all_by_zone()
 
+    def upstream_counts(self) -> Mapping[str, int]:
+        """Returns the number of ready upstreams of each service."""
+        self._all_by_zone()
+        return self._upstream_counts
+
     def node_count(self) -> int:
         """Returns the number of nodes that have an entry."""
         return len(self._keys_by_address)
@@ -356,6 +363,10 @@
             self._deps.rng.shuffle(by_zone.own_zone)
             self._deps.rng.shuffle(by_zone.other_zones)
         self._entries_by_service = services
+        self._upstream_counts = {
+            service: len(by_zone.own_zone) + len(by_zone.other_zones)
+            for service, by_zone in services.items()
+        }
         self._index_outdated = False
         return services
 
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -7,7 +7,7 @@
 
 import logging
 from collections.abc import Callable
-from collections.abc import Collection
+from collections.abc import Mapping
 from typing import NamedTuple
 
 import gevent
@@ -97,8 +97,8 @@
     metrics: _metrics.Metrics
     #: Sends the upstream's changed state to the linked nodes.
     notify_peers: Callable[[], None]
-    #: Returns the services that have an upstream.
-    services: Callable[[], Collection[str]]
+    #: Returns the number of upstreams of each service.
+    upstream_counts: Callable[[], Mapping[str, int]]
     #: Pressure of the services that the upstream calls.
     callee_pressure: _pressure.CalleePressure
 
@@ -285,7 +285,9 @@
     ) -> _slots.Ticket:
         """Submits a call; `reply` is called exactly once with the outcome."""
         self._origins.record(call.route, call.origin_service)
-        nested = self._origins.is_nested(call.route, self._deps.services())
+        nested = self._origins.is_nested(
+            call.route, self._deps.upstream_counts()
+        )
         ticket = _slots.Ticket(call, nested)
         gevent.spawn(self._serve, ticket, reply)
         return ticket
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -101,7 +101,7 @@
             ).schedule_status(),
             lambda: parts.get(
                 "gateway.directory", _directory.Directory
-            ).services(),
+            ).upstream_counts(),
             parts.get("gateway.pressure", _pressure.CalleePressure),
         )
     )
--- a/flamingolug/gateway/_pressure.py
+++ b/flamingolug/gateway/_pressure.py
@@ -27,6 +27,8 @@
 MIN_REPORTED_PRESSURE = 0.9
 #: Upper bound of the chain depth; services that call each other have no depth.
 MAX_CHAIN_DEPTH = 15
+#: Decrease of a chain depth with each report of a smaller one.
+CHAIN_DEPTH_DECAY = 0.05
 #: Time constant of the smoothed pressure of a service, seconds.
 TIME_CONSTANT_S = 0.15
 #: Seconds without a report after which the pressure of a service decays.
@@ -51,6 +53,15 @@
     return 1.0 - math.exp(-elapsed_s / time_constant_s)
 
 
+def follow_depth(previous: float, reported: int) -> float:
+    """Returns a chain depth after a report.
+
+    It rises at once and falls slowly, since gates that have not seen nested
+    calls yet report too little.
+    """
+    return max(float(reported), previous - CHAIN_DEPTH_DECAY)
+
+
 class CalleePressure:
     """Smoothed pressure of each called service."""
 
@@ -62,15 +73,17 @@
         #: Bottleneck behind each called service and the fraction of its calls
         #: that could not end in time, as reported last.
         self._bottlenecks: dict[str, tuple[str, float]] = {}
-        #: Longest chain of calls below the backend server beside the node.
-        self.chain_depth = 0
+        #: Longest chain of calls below the backend server beside the node, by
+        #: the called service.
+        self._chain_depths: dict[str, float] = {}
 
     def record(self, service: str, load: _model.LoadReport) -> None:
         """Records what an outcome reports for a called service."""
         if load.bottleneck:
             self._bottlenecks[service] = (load.bottleneck, load.expired_ratio)
-        self.chain_depth = min(
-            max(self.chain_depth, load.chain_depth + 1), MAX_CHAIN_DEPTH
+        self._chain_depths[service] = follow_depth(
+            self._chain_depths.get(service, 0.0),
+            min(load.chain_depth + 1, MAX_CHAIN_DEPTH),
         )
         mean = self._smoothed.get(service, 0.0)
         now = self._now()
@@ -79,6 +92,11 @@
         self._smoothed[service] = mean + (load.pressure - mean) * weight
         self._recorded_at[service] = now
 
+    @property
+    def chain_depth(self) -> int:
+        """Longest chain of calls below the backend server beside the node."""
+        return math.ceil(max(self._chain_depths.values(), default=0.0))
+
     def highest(self) -> Pressure:
         """Returns the highest pressure that is recent, 0 for none."""
         now = self._now()
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -1,6 +1,7 @@
 """Handles a request of a caller: admission, attempts, retries and answer."""
 
 import logging
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -14,6 +15,7 @@
 from flamingolug import timing
 from flamingolug.gateway import _admission
 from flamingolug.gateway import _budget
+from flamingolug.gateway import _call_origins
 from flamingolug.gateway import _configuration_watcher
 from flamingolug.gateway import _metrics
 from flamingolug.gateway import _model
@@ -111,9 +113,9 @@
         #: Longest deadline that a caller has stated, by route, seconds.
         self._longest_deadline_s: dict[str, float] = {}
         #: Routes of nested calls, as reported by the gates of the upstreams.
-        self._nested_routes: set[str] = set()
+        self._nested_routes = _call_origins.NestedRoutes()
         #: Longest chain of calls below each service, as reported by its gates.
-        self._chain_depths: dict[str, int] = {}
+        self._chain_depths: dict[str, float] = {}
         #: Ordinary successes since the start; a sample of them is logged.
         self._ordinary_successes = 0
 
@@ -190,7 +192,7 @@
         self, state: _request_state.RequestState, routed: _RoutedRequest
     ) -> _request_state.Answer:
         """Offers the request to upstreams until it is answered or stopped."""
-        nested = routed.route.name in self._nested_routes
+        nested = self._nested_routes.contains(routed.route.name)
         if self._may_outlast_node(routed, nested):
             return self._refuse(state, routed, "stopping")
         admission_controller = self._admission_controller_of(routed)
@@ -264,7 +266,7 @@
         now = self._now()
         route = routed.route
         wait_until = routed.deadline
-        if route.name not in self._nested_routes:
+        if not self._nested_routes.contains(route.name):
             wait_until = min(
                 now + MAX_WAIT_TARGET_FRACTION * route.target_latency_s,
                 now + MAX_WAIT_REMAINING_FRACTION * (routed.deadline - now),
@@ -320,18 +322,16 @@
             return _model.unknown("timeout")
         pending.complete(outcome)
         if outcome.load is not None:
-            if routed.route.name in self._nested_routes:
+            if self._nested_routes.contains(routed.route.name):
                 self._deps.callee_pressure.record(routed.service, outcome.load)
-            self._chain_depths[routed.service] = max(
+            self._chain_depths[routed.service] = _pressure.follow_depth(
+                self._chain_depths.get(routed.service, 0.0),
                 outcome.load.chain_depth,
-                self._chain_depths.get(routed.service, 0),
             )
-        if outcome.nested:
-            self._nested_routes.add(routed.route.name)
-        elif outcome.load is not None:
+        if outcome.load is not None:
             # Only an outcome from a gate has a load, and only a gate detects
             # nested routes.
-            self._nested_routes.discard(routed.route.name)
+            self._nested_routes.record(routed.route.name, outcome.nested)
         return outcome
 
     def _find_stop_reason(
@@ -352,7 +352,7 @@
         if state.arrivals >= routed.route.max_attempts:
             return "attempts"
         budget = self._budget_of(routed.service)
-        chain_depth = self._chain_depths.get(routed.service, 0)
+        chain_depth = math.ceil(self._chain_depths.get(routed.service, 0.0))
         if not budget.try_spend(self._deps.node_count(), chain_depth):
             return "budget"
         return ""
@@ -522,7 +522,7 @@
             route=routed.route.name,
             rank=routed.route.rank,
             service=routed.service,
-            nested=routed.route.name in self._nested_routes,
+            nested=self._nested_routes.contains(routed.route.name),
             offers=state.offers,
             arrivals=state.arrivals,
             last=state.last_upstream_id,
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -486,7 +486,10 @@
 
 
 class CallOriginsTest(unittest.TestCase):
-    """Detection of nested routes by the services where requests enter."""
+    """Detection of nested routes by the services where requests enter.
+
+    Pattern: a proportion is judged by the number of calls expected.
+    """
 
     def test_route_is_nested_when_its_requests_enter_at_some_services_only(
         self,
@@ -501,10 +504,55 @@
                 call_origins = _call_origins.CallOrigins()
                 for number in range(100):
                     call_origins.record("r", origins[number % len(origins)])
-                nested = call_origins.is_nested("r", ("a", "b", "c", "d"))
+                nested = call_origins.is_nested("r", dict.fromkeys("abcd", 4))
                 self.assertEqual(nested, expected)
 
     def test_route_with_few_calls_is_not_nested(self) -> None:
         call_origins = _call_origins.CallOrigins()
         call_origins.record("r", "a")
-        self.assertFalse(call_origins.is_nested("r", ("a", "b")))
+        self.assertFalse(call_origins.is_nested("r", {"a": 1, "b": 1}))
+
+    def count_nested(self, origins: list[str], calls: int) -> int:
+        """Returns for how many of the calls of a route it counts as nested."""
+        rng = random.Random(8)
+        call_origins = _call_origins.CallOrigins()
+        nested = 0
+        for _ in range(calls):
+            call_origins.record("r", rng.choice(origins))
+            nested += call_origins.is_nested("r", _FLEET)
+        return nested
+
+    def test_requests_of_callers_are_not_nested_beside_small_services(
+        self,
+    ) -> None:
+        """Few requests enter at the nodes of a service with few upstreams."""
+        everywhere = [
+            name for name, count in _FLEET.items() for _ in range(count)
+        ]
+        without_small = [name for name in everywhere if name != "d"]
+        for origins in (everywhere, without_small):
+            self.assertLess(self.count_nested(origins, 3000), 30)
+
+    def test_nested_route_is_detected_after_few_calls(self) -> None:
+        for origins, calls in ((["c"], 10), (["a", "b"], 40)):
+            with self.subTest(origins=origins):
+                nested = self.count_nested(origins, 1000)
+                self.assertGreater(nested, 1000 - calls)
+
+    def test_gates_that_have_not_detected_it_do_not_outvote_others(
+        self,
+    ) -> None:
+        rng = random.Random(8)
+        nested_routes = _call_origins.NestedRoutes()
+        nested = fresh = 0
+        for _ in range(1000):
+            nested_routes.record("nested", rng.random() < 0.75)
+            nested_routes.record("fresh", rng.random() < 0.05)
+            nested += nested_routes.contains("nested")
+            fresh += nested_routes.contains("fresh")
+        self.assertGreater(nested, 950)
+        self.assertLess(fresh, 20)
+
+
+#: Upstreams of each service of a large fleet.
+_FLEET = {"a": 100, "b": 58, "c": 25, "d": 11}
--- a/flamingolug/gateway/tests/test_pressure.py
+++ b/flamingolug/gateway/tests/test_pressure.py
@@ -51,6 +51,13 @@
             self.callees.record("s", make_load(0.1, "", depth))
         self.assertEqual(self.callees.chain_depth, _pressure.MAX_CHAIN_DEPTH)
 
+    def test_depth_that_was_too_high_falls_with_further_reports(self) -> None:
+        self.callees.record("s", make_load(0.1, "", 9))
+        self.assertEqual(self.callees.chain_depth, 10)
+        for _ in range(300):
+            self.callees.record("s", make_load(0.1, "", 1))
+        self.assertEqual(self.callees.chain_depth, 2)
+
     def test_load_report_is_the_same_behind_a_link(self) -> None:
         load = make_load(1.25, "leaf", 2)
         frame = _link.load_to_frame(load)
--- a/flamingolug/platform/tests/test_lost.py
+++ b/flamingolug/platform/tests/test_lost.py
@@ -16,6 +16,7 @@
 
 from flamingolug import http1
 from flamingolug import platform
+from flamingolug.gateway import _call_origins
 from flamingolug.gateway import _dynamic_table
 from flamingolug.gateway import _frames
 from flamingolug.gateway import _link
@@ -452,7 +453,8 @@
         }
         for name, (nested, left_s, status) in cases.items():
             with self.subTest(name):
-                handler._nested_routes = {"read"} if nested else set()
+                for _ in range(_call_origins.MAX_VOTES):
+                    handler._nested_routes.record("read", nested)
                 handler.ends_at = time.monotonic() + left_s
                 answer = deployment.send_request(self.shelf, "read", name)
                 self.assertEqual(answer.status, status)
