Take tests of the configuration on nested routes for what they are

Cause: a call to a nested route counts as made by the backend server beside the node where it enters, and the depth of the called service as its own. Tests of the configuration reach such routes from every node, also beside the last service of a chain.

Change: a gate reports a call on a nested route as nested only if its origin makes a fifth of the calls expected of it. A called service without calls for 5 s does not count in the depth.

Evidence: test_test_of_a_nested_route_does_not_come_from_a_backend_server and test_service_that_is_no_longer_called_does_not_count_in_the_depth fail before.

--- a/flamingolug/gateway/_call_origins.py
+++ b/flamingolug/gateway/_call_origins.py
@@ -47,14 +47,18 @@
                 total += counts[name]
         self._totals[route] = total
 
-    def is_nested(self, route: str, upstreams: Mapping[str, int]) -> bool:
-        """Returns whether the calls of a route come from backend servers.
+    def is_nested(
+        self, route: str, origin_service: str, upstreams: Mapping[str, int]
+    ) -> bool:
+        """Returns whether a call comes from a backend server.
 
         Callers are expected in proportion to the upstreams, since there is a
-        node beside each.
+        node beside each. On a nested route a call from a service that makes
+        hardly any is a test of the configuration.
 
         Args:
-            route: name of the route.
+            route: name of the route of the call.
+            origin_service: service of the node where it entered.
             upstreams: number of upstreams of each service.
         """
         total = self._totals.get(route, 0)
@@ -68,6 +72,8 @@
             if expected < MIN_EXPECTED_CALLS:
                 continue
             if counts.get(service, 0) < MIN_PRESENCE_RATIO * expected:
+                if service == origin_service:
+                    return False
                 absent += count
         return absent > MIN_ABSENT_PART * all_upstreams
 
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -286,7 +286,7 @@
         """Submits a call; `reply` is called exactly once with the outcome."""
         self._origins.record(call.route, call.origin_service)
         nested = self._origins.is_nested(
-            call.route, self._deps.upstream_counts()
+            call.route, call.origin_service, self._deps.upstream_counts()
         )
         ticket = _slots.Ticket(call, nested)
         gevent.spawn(self._serve, ticket, reply)
--- a/flamingolug/gateway/_pressure.py
+++ b/flamingolug/gateway/_pressure.py
@@ -27,6 +27,8 @@
 MIN_REPORTED_PRESSURE = 0.9
 #: Upper bound of the chain depth; services that call each other have no depth.
 MAX_CHAIN_DEPTH = 15
+#: Seconds without a call after which a service does not count in the depth.
+CHAIN_DEPTH_MAX_AGE_S = 5.0
 #: Decrease of a chain depth with each report of a smaller one.
 CHAIN_DEPTH_DECAY = 0.05
 #: Time constant of the smoothed pressure of a service, seconds.
@@ -95,7 +97,13 @@
     @property
     def chain_depth(self) -> int:
         """Longest chain of calls below the backend server beside the node."""
-        return math.ceil(max(self._chain_depths.values(), default=0.0))
+        oldest = self._now() - CHAIN_DEPTH_MAX_AGE_S
+        depths = [
+            depth
+            for service, depth in self._chain_depths.items()
+            if self._recorded_at[service] > oldest
+        ]
+        return math.ceil(max(depths, default=0.0))
 
     def highest(self) -> Pressure:
         """Returns the highest pressure that is recent, 0 for none."""
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -507,13 +507,16 @@
                 call_origins = _call_origins.CallOrigins()
                 for number in range(100):
                     call_origins.record("r", origins[number % len(origins)])
-                nested = call_origins.is_nested("r", dict.fromkeys("abcd", 4))
+                nested = call_origins.is_nested(
+                    "r", origins[0], dict.fromkeys("abcd", 4)
+                )
                 self.assertEqual(nested, expected)
 
     def test_route_with_few_calls_is_not_nested(self) -> None:
         call_origins = _call_origins.CallOrigins()
         call_origins.record("r", "a")
-        self.assertFalse(call_origins.is_nested("r", {"a": 1, "b": 1}))
+        nested = call_origins.is_nested("r", "a", {"a": 1, "b": 1})
+        self.assertFalse(nested)
 
     def count_nested(self, origins: list[str], calls: int) -> int:
         """Returns for how many of the calls of a route it counts as nested."""
@@ -521,8 +524,9 @@
         call_origins = _call_origins.CallOrigins()
         nested = 0
         for _ in range(calls):
-            call_origins.record("r", rng.choice(origins))
-            nested += call_origins.is_nested("r", _FLEET)
+            origin = rng.choice(origins)
+            call_origins.record("r", origin)
+            nested += call_origins.is_nested("r", origin, _FLEET)
         return nested
 
     def test_requests_of_callers_are_not_nested_beside_small_services(
@@ -542,6 +546,16 @@
                 nested = self.count_nested(origins, 1000)
                 self.assertGreater(nested, 1000 - calls)
 
+    def test_test_of_a_nested_route_does_not_come_from_a_backend_server(
+        self,
+    ) -> None:
+        call_origins = _call_origins.CallOrigins()
+        for number in range(500):
+            call_origins.record("r", "d" if number % 100 == 50 else "c")
+        upstreams = dict.fromkeys("abcd", 4)
+        self.assertTrue(call_origins.is_nested("r", "c", upstreams))
+        self.assertFalse(call_origins.is_nested("r", "d", upstreams))
+
     def test_gates_that_have_not_detected_it_do_not_outvote_others(
         self,
     ) -> None:
--- a/flamingolug/gateway/tests/test_pressure.py
+++ b/flamingolug/gateway/tests/test_pressure.py
@@ -58,6 +58,14 @@
             self.callees.record("s", make_load(0.1, "", 1))
         self.assertEqual(self.callees.chain_depth, 2)
 
+    def test_service_that_is_no_longer_called_does_not_count_in_the_depth(
+        self,
+    ) -> None:
+        self.callees.record("called once", make_load(0.1, "", 9))
+        self.clock.time_s += _pressure.CHAIN_DEPTH_MAX_AGE_S
+        self.callees.record("leaf", make_load(0.1))
+        self.assertEqual(self.callees.chain_depth, 1)
+
     def test_load_report_is_the_same_behind_a_link(self) -> None:
         load = make_load(1.25, "leaf", 2)
         frame = _link.load_to_frame(load)
