Do not let services that call themselves raise the depth of a chain

At 13.0 s, behind a power failure of two nodes, the last service too was taken for a caller of orders: its nodes were gone from one zone, and a gate there took requests of callers for nested ones. Every depth was then 15 and no retry was within the budget.

Change: calls of a service to itself do not count in its depth, and no depth is above the number of other services. One absent service makes a route nested only if it has three tenths of all upstreams, two or more if they have an eighth together; the calls that absent services should have made are added up.

Evidence: test_service_that_calls_itself_has_the_depth_of_the_others and the case 'nodes of one service are gone' fail before.

--- a/flamingolug/gateway/_call_origins.py
+++ b/flamingolug/gateway/_call_origins.py
@@ -7,9 +7,9 @@
 
 from collections.abc import Mapping
 
-#: Calls of a service that must be expected before it can count as absent. A
-#: service that makes its part of the calls then counts as absent by chance once
-#: in 150 decisions.
+#: Calls that must be expected of absent services together before they count.
+#: Services that make their part of the calls are then absent by chance once in
+#: 150 decisions.
 MIN_EXPECTED_CALLS = 5.0
 #: Calls after which the counts are halved, so that a route whose callers change
 #: is detected.
@@ -21,6 +21,9 @@
 #: Part of all upstreams that the absent services must have together. A small
 #: service may have no upstream in the zones from which calls come.
 MIN_ABSENT_PART = 0.12
+#: The same if it is only one service: after a failure the nodes of one service
+#: may be gone from a zone.
+MIN_ABSENT_PART_OF_ONE = 0.3
 #: Votes for a route above which it counts as nested at an entry, and the
 #: highest number of votes that is kept.
 MIN_VOTES = 2
@@ -62,20 +65,24 @@
             upstreams: number of upstreams of each service.
         """
         total = self._totals.get(route, 0)
-        if total < MIN_EXPECTED_CALLS or len(upstreams) < 2:
-            return False
-        counts = self._counts[route]
         all_upstreams = sum(upstreams.values())
-        absent = 0
+        if len(upstreams) < 2 or not all_upstreams:
+            return False
+        counts = self._counts.get(route, {})
+        absent: list[int] = []
         for service, count in upstreams.items():
             expected = total * count / all_upstreams
-            if expected < MIN_EXPECTED_CALLS:
+            if counts.get(service, 0) >= MIN_PRESENCE_RATIO * expected:
                 continue
-            if counts.get(service, 0) < MIN_PRESENCE_RATIO * expected:
-                if service == origin_service:
-                    return False
-                absent += count
-        return absent > MIN_ABSENT_PART * all_upstreams
+            if service == origin_service:
+                return False
+            absent.append(count)
+        absent_part = sum(absent) / all_upstreams
+        if total * absent_part < MIN_EXPECTED_CALLS:
+            return False
+        if len(absent) == 1:
+            return absent_part > MIN_ABSENT_PART_OF_ONE
+        return absent_part > MIN_ABSENT_PART
 
 
 class NestedRoutes:
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -276,7 +276,8 @@
             self._failure_ratio,
             pressure.ratio,
             pressure.bottleneck if named else "",
-            callees.chain_depth,
+            # Services that call each other have no depth of their own.
+            min(callees.chain_depth, len(self._deps.upstream_counts()) - 1),
             pressure.expired_ratio if named else 0.0,
         )
 
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -84,7 +84,9 @@
 
 @kernel.plugin("gateway.pressure", (), PROGRAM)
 def _build_pressure(parts: kernel.Kernel) -> object:
-    return _pressure.CalleePressure(_timers(parts).now)
+    return _pressure.CalleePressure(
+        _timers(parts).now, _settings(parts).identity.service
+    )
 
 
 @kernel.plugin("gateway.gate", ("gateway.metrics", "gateway.pressure"), PROGRAM)
--- a/flamingolug/gateway/_pressure.py
+++ b/flamingolug/gateway/_pressure.py
@@ -67,9 +67,15 @@
 class CalleePressure:
     """Smoothed pressure of each called service."""
 
-    def __init__(self, now: Callable[[], float]) -> None:
-        """Creates an instance without reports."""
+    def __init__(self, now: Callable[[], float], own_service: str = "") -> None:
+        """Creates an instance without reports.
+
+        Args:
+            now: returns the clock reading in seconds.
+            own_service: service of the backend server beside the node.
+        """
         self._now = now
+        self._own_service = own_service
         self._smoothed: dict[str, float] = {}
         self._recorded_at: dict[str, float] = {}
         #: Bottleneck behind each called service and the fraction of its calls
@@ -83,10 +89,12 @@
         """Records what an outcome reports for a called service."""
         if load.bottleneck:
             self._bottlenecks[service] = (load.bottleneck, load.expired_ratio)
-        self._chain_depths[service] = follow_depth(
-            self._chain_depths.get(service, 0.0),
-            min(load.chain_depth + 1, MAX_CHAIN_DEPTH),
-        )
+        if service != self._own_service:
+            # A service that calls itself would raise its depth without end.
+            self._chain_depths[service] = follow_depth(
+                self._chain_depths.get(service, 0.0),
+                min(load.chain_depth + 1, MAX_CHAIN_DEPTH),
+            )
         mean = self._smoothed.get(service, 0.0)
         now = self._now()
         elapsed_s = now - self._recorded_at.get(service, now)
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -501,6 +501,7 @@
             "enters everywhere": (("a", "b", "c", "d"), False),
             "enters beside one service": (("a",), True),
             "enters beside two services": (("a", "b"), True),
+            "nodes of one service are gone": (("a", "b", "c"), False),
         }
         for name, (origins, expected) in cases.items():
             with self.subTest(name):
--- a/flamingolug/gateway/tests/test_pressure.py
+++ b/flamingolug/gateway/tests/test_pressure.py
@@ -45,6 +45,16 @@
         self.callees.record("near", make_load(0.1, "", 2))
         self.assertEqual(self.callees.chain_depth, 3)
 
+    def test_service_that_calls_itself_has_the_depth_of_the_others(
+        self,
+    ) -> None:
+        callees = _pressure.CalleePressure(self.clock.now, "own")
+        for _ in range(5):
+            callees.record("own", make_load(2.0, "own", callees.chain_depth))
+            callees.record("leaf", make_load(0.1))
+        self.assertEqual(callees.chain_depth, 1)
+        self.assertEqual(callees.highest().bottleneck, "own")
+
     def test_depth_of_services_that_call_each_other_is_bounded(self) -> None:
         for _ in range(100):
             depth = self.callees.chain_depth
