Share the weight of rare samples, state when windows have no outcome

No change of behaviour: one function for the weight of a sample after a time without samples; comments of the admission follow what it does.

--- a/flamingolug/gateway/_admission.py
+++ b/flamingolug/gateway/_admission.py
@@ -40,8 +40,8 @@
 from flamingolug.gateway import _pressure
 
 _LOGGER = logging.getLogger(__name__)
-#: Seconds between two changes of the probability; each such window contains
-#: several outcomes.
+#: Seconds between two changes of the probability. In a large deployment most
+#: windows contain no outcome of a kind.
 WINDOW_S = 0.25
 #: Fraction of finished requests that may fail under pressure before the
 #: probability decreases. Those of a single faulty upstream stay below it.
@@ -194,7 +194,7 @@
             self._failure_count += 1.0
         sample = 0.0 if succeeded else 1.0
         now = self._now()
-        weight = _weight_after(
+        weight = _pressure.weight_after(
             now - self._outcome_recorded_at, FAILURE_TIME_CONSTANT_S
         )
         self._outcome_recorded_at = now
@@ -392,8 +392,3 @@
     """
     for each in sorted(controllers, key=lambda each: -each.rank):
         each.end_window()
-
-
-def _weight_after(elapsed_s: float, time_constant_s: float) -> float:
-    """Returns the weight of a sample after a time without samples."""
-    return 1.0 - math.exp(-elapsed_s / time_constant_s)
--- a/flamingolug/gateway/_pressure.py
+++ b/flamingolug/gateway/_pressure.py
@@ -50,8 +50,8 @@
     expired_ratio: float = 0.0
 
 
-def _weight(elapsed_s: float, time_constant_s: float) -> float:
-    """Returns the weight of a report after a time without reports."""
+def weight_after(elapsed_s: float, time_constant_s: float) -> float:
+    """Returns the weight of a sample after a time without samples."""
     return 1.0 - math.exp(-elapsed_s / time_constant_s)
 
 
@@ -98,7 +98,7 @@
         mean = self._smoothed.get(service, 0.0)
         now = self._now()
         elapsed_s = now - self._recorded_at.get(service, now)
-        weight = max(SMOOTHING, _weight(elapsed_s, CALLEE_TIME_CONSTANT_S))
+        weight = max(SMOOTHING, weight_after(elapsed_s, CALLEE_TIME_CONSTANT_S))
         self._smoothed[service] = mean + (load.pressure - mean) * weight
         self._recorded_at[service] = now
 
@@ -158,7 +158,7 @@
         now = self._now()
         elapsed_s = now - self._recorded_at
         smoothed = self.ratio
-        self._ratio = smoothed + (reported.ratio - smoothed) * _weight(
+        self._ratio = smoothed + (reported.ratio - smoothed) * weight_after(
             elapsed_s, TIME_CONSTANT_S
         )
         self._recorded_at = now
