Count failures however long the queue of the bottleneck is

Cause: above a pressure of 1.5 only the controller decreased a kind.

Change: failures decrease the least urgent kind of the group at any pressure.

Evidence: test_failures_count_however_long_the_queue_is fails before.

--- a/flamingolug/gateway/_admission.py
+++ b/flamingolug/gateway/_admission.py
@@ -92,9 +92,6 @@
 TARGET_PRESSURE = 1.1
 #: Pressure above which the probability is regulated; below it, slots are free.
 MIN_REGULATED_PRESSURE = 0.9
-#: Pressure above which failures are attributed to the queue, so that the
-#: controller reacts to the pressure alone.
-QUEUEING_PRESSURE = 1.5
 #: Change of the probability's logarithm in a window for each unit by which the
 #: pressure has risen, and for each unit by which it exceeds its target. A
 #: change takes effect after half a second to a second; with twice the integral
@@ -214,7 +211,6 @@
         if (
             self._failure_count
             > self._tolerated_ratio() * outcomes + FAILURE_ALLOWANCE
-            and self._pressure < QUEUEING_PRESSURE
         ):
             success_ratio = self._success_count / outcomes
             self._settled_after = now + SETTLING_TIME_S
--- a/flamingolug/gateway/tests/test_decisions.py
+++ b/flamingolug/gateway/tests/test_decisions.py
@@ -411,6 +411,12 @@
         self.run_load(5.0, 0.5)
         self.assertLess(self.run_load(5.0, 0.5), 0.6)
 
+    def test_failures_count_however_long_the_queue_is(self) -> None:
+        """Pattern: deadlines bound the queue, so pressure hides the excess."""
+        self.pressure = 2.5
+        self.run_load(2.0, 0.6)
+        self.assertLess(self.run_load(4.0, 0.6), 0.15)
+
     def test_failing_requests_are_refused_at_the_entry(self) -> None:
         self.run_load(5.0, 0.05)
         self.assertLess(self.run_load(5.0, 0.05), 0.25)
