Bound the figures of a peer's load report

The chain depth and the pressure of a load frame were used as received: a depth of -5 let the fraction of the retry budget grow to twice the whole after sixty reports, one of a million ended all retries for some 20 million reports, and one wrong pressure refused requests for seconds.

Ruled out: ending the link. An unknown but harmless figure of a newer node would then cost the running calls of that link.

Change: the figures are limited where the frame is decoded, depth 0 to 15, pressure 0 to 20, expired calls 0 to 1; a depth does not fall below 0.

Evidence: test_impossible_figures_of_a_peer_are_limited (both cases) and test_effect_of_one_wrong_report_ends failed before.

--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -22,6 +22,7 @@
 from flamingolug.gateway import _frames
 from flamingolug.gateway import _metrics
 from flamingolug.gateway import _model
+from flamingolug.gateway import _pressure
 
 _LOGGER = logging.getLogger(__name__)
 _READ_BYTES = 262144
@@ -47,6 +48,9 @@
 #: Queued bytes above which calls are not sent and results wait. A peer that
 #: does not read is detected by the time-outs of the connection.
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+#: Highest pressure that is accepted from a peer; deadlines bound a queue well
+#: below it.
+MAX_REPORTED_PRESSURE = 20.0
 #: Seconds after a failed connection attempt before the next one to that peer.
 RECONNECT_AFTER_S = 0.5
 
@@ -57,17 +61,17 @@
 
 
 def load_from_frame(frame: _frames.LoadFrame) -> _model.LoadReport:
-    """Returns the load report that a frame carries."""
+    """Returns the load report that a frame carries, within possible bounds."""
     return _model.LoadReport(
         frame.running,
         frame.limit,
         tuple(frame.waiting),
         frame.hold_ms / 1000.0,
         frame.failing / 100.0,
-        frame.pressure / 100.0,
+        min(max(frame.pressure / 100.0, 0.0), MAX_REPORTED_PRESSURE),
         frame.bottleneck,
-        frame.chain_depth,
-        frame.expired / 100.0,
+        min(max(frame.chain_depth, 0), _pressure.MAX_CHAIN_DEPTH),
+        min(max(frame.expired / 100.0, 0.0), 1.0),
     )
 
 
--- a/flamingolug/gateway/_pressure.py
+++ b/flamingolug/gateway/_pressure.py
@@ -61,7 +61,7 @@
     It rises at once and falls slowly, since gates that have not seen nested
     calls yet report too little.
     """
-    return max(float(reported), previous - CHAIN_DEPTH_DECAY)
+    return max(float(reported), previous - CHAIN_DEPTH_DECAY, 0.0)
 
 
 class CalleePressure:
--- a/flamingolug/gateway/tests/test_link.py
+++ b/flamingolug/gateway/tests/test_link.py
@@ -10,6 +10,7 @@
 from flamingolug import http1
 from flamingolug.gateway import _frames
 from flamingolug.gateway import _link
+from flamingolug.gateway import _pressure
 
 
 class _Stream:
@@ -130,3 +131,42 @@
                 self.assertFalse(self.link.ended)
                 self.check_for(1.0, idle_probe_s)
                 self.assertTrue(self.link.ended)
+
+
+class LoadReportTest(unittest.TestCase):
+    """Load reports of a peer whose figures cannot be right.
+
+    Pattern: clamp at the boundary. A wrong report must neither widen a limit
+    nor have an effect for long.
+    """
+
+    def test_impossible_figures_of_a_peer_are_limited(self) -> None:
+        for depth, pressure, expired in (
+            (-5, -100, -50),
+            (10**6, 10**8, 10**4),
+        ):
+            with self.subTest(depth=depth):
+                frame = _frames.LoadFrame(
+                    1, 2, [0], 100, 0, pressure, "s", depth, expired
+                )
+                load = _link.load_from_frame(frame)
+                self.assertIn(load.chain_depth, range(16))
+                self.assertTrue(0.0 <= load.expired_ratio <= 1.0)
+                self.assertTrue(
+                    0.0 <= load.pressure <= _link.MAX_REPORTED_PRESSURE
+                )
+
+    def test_effect_of_one_wrong_report_ends(self) -> None:
+        frame = _frames.LoadFrame(1, 2, [0], 100, 0, 10**8, "s", 10**6, 100)
+        load = _link.load_from_frame(frame)
+        time_s = 100.0
+        pressure = _pressure.ServicePressure(lambda: time_s)
+        pressure.record(_pressure.Pressure(load.pressure, "s", 1.0))
+        depth = _pressure.follow_depth(0.0, load.chain_depth)
+        for _ in range(300):
+            depth = _pressure.follow_depth(depth, 0)
+        self.assertEqual(depth, 0.0)
+        for _ in range(5):
+            time_s += 0.25
+            pressure.record(_pressure.Pressure(0.2, ""))
+        self.assertLess(pressure.ratio, 0.9)
