--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -354,14 +354,15 @@
         self.state = "ready"
         self.sequence = 0
         self.born = int(time.time() * 1000)
-        self.reporting = True
+        self.reporting = False
         self._record = record
+        self._reporter: gevent.Greenlet[[], None] = gevent.Greenlet()
         self._running = 0
         self._server = gevent_server.StreamServer(
             http1.listen(*machine.app), self._serve
         )
         self._server.start()
-        gevent.spawn(self._report_regularly)
+        self.report_regularly()
 
     def stop(self) -> None:
         """Ends the upstream."""
@@ -408,7 +409,13 @@
         finally:
             conn.close()
 
-    def _report_regularly(self) -> None:
+    def report_regularly(self) -> None:
+        """Starts to report in the usual interval."""
+        self.reporting = True
+        self._reporter.kill()
+        self._reporter = gevent.spawn(self._report)
+
+    def _report(self) -> None:
         while self.reporting:
             status = self.post("heartbeat", self.make_report())
             self._record.write(
