--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -351,6 +351,7 @@
         self.machine = machine
         self.runs: list[Run] = []
         self.work_s = 0.02
+        self.response_body = b"answer"
         self.state = "ready"
         self.sequence = 0
         self.born = int(time.time() * 1000)
@@ -458,7 +459,7 @@
             (b"x-response-seal", b"seal-" + request_id),
             (b"x-server-load", f"{self._running},0,54".encode()),
         ]
-        return http1.format_response(200, headers, b"answer", False)
+        return http1.format_response(200, headers, self.response_body, False)
 
 
 class Installation:
