--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,76 +1,75 @@
-"""A report without an address is taken for one of the upstream.
-
-The reports that the upstream itself sends then count as outdated, also the one
-that it is draining, but they are acknowledged.
-"""
+"""A node misses configurations for up to 30 s after the store was silent."""
 
 import pathlib
 import sys
 
 import gevent
-import msgspec
 
 from review.common import harness
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-SERVICE = "alpha"
-#: Sequence number in the report of the other writer.
-FOREIGN_SEQUENCE = 1000
-#: Seconds after the acknowledgement for which requests are sent; the upstream
-#: serves longer.
+#: Seconds for which the store gives one of three machines no response.
+SILENT_S = 9.0
+#: Seconds from the end of the silence to the change that is checked.
+CALM_S = harness.TOUCH_S + 1.0
+#: Seconds over which requests are sent, from `ConfigApplyMs` on.
 CHECKED_S = 4.0
-SERVES_ON_S = 6.0
+SERVICE = "alpha"
 
 
 def play(installation: harness.Installation, trouble: bool) -> bool:
-    """Plays the case; returns whether DRAIN held."""
+    """Plays the case; returns whether CONFIG held."""
     record = installation.record
-    installation.put_configuration(1, [harness.make_route("r", SERVICE)])
-    machines = [installation.add_machine(SERVICE, f"z{i}") for i in range(2)]
+    old = harness.make_route("old", SERVICE)
+    kept = harness.make_route("kept", SERVICE)
+    new = harness.make_route("new", SERVICE)
+    installation.put_configuration(1, [old, kept])
+    machines = [installation.add_machine(SERVICE, f"z{i}") for i in range(3)]
+    affected = machines[0]
+    relay = harness.Relay(
+        affected.host, installation.base_port + 8, installation.store.address
+    )
+    affected.store = (affected.host, installation.base_port + 8)
     for machine in machines:
         machine.start()
     installation.wait_ready()
-    leaving = installation.add_upstream(machines[0], "i-leaving")
-    installation.add_upstream(machines[1], "i-staying")
-    gevent.sleep(harness.TOUCH_S + 0.2)
+    for number, machine in enumerate(machines):
+        installation.add_upstream(machine, f"i-{number}")
+    gevent.sleep(3.0)
     for machine in machines:
-        if harness.send_request(record, machine, "r", machine.name) != 200:
+        if harness.send_request(record, machine, "kept", machine.name) != 200:
             raise harness.CouldNotRunError(f"{machine.name} serves nothing")
-
-    if trouble:
-        report = msgspec.json.decode(leaving.make_report())
-        del report["Address"]
-        report["Sequence"] = FOREIGN_SEQUENCE
-        status = leaving.post("heartbeat", msgspec.json.encode(report))
-        record.write(f"other writer: report without Address: {status}")
-    leaving.reporting = False
-    leaving.state = "draining"
-    status = leaving.post("heartbeat", leaving.make_report())
-    acknowledged_at = record.now()
-    record.write(
-        f"{leaving.id}: report {leaving.sequence} (draining): {status}"
-    )
-    if status != 200:
-        raise harness.CouldNotRunError("the report is not acknowledged")
-    gevent.spawn_later(harness.HEARTBEAT_S, leaving.report_regularly)
-    gevent.spawn_later(SERVES_ON_S, leaving.post, "deregister", b"")
-
+    relay.silent = trouble
+    record.write(f"store silent for {affected.name}: {trouble}")
+    gevent.sleep(SILENT_S / 2)
+    installation.put_configuration(2, [old, kept])
+    gevent.sleep(SILENT_S / 2)
+    relay.silent = False
+    record.write(f"store answers {affected.name} again")
+    gevent.sleep(CALM_S)
+    installation.put_configuration(3, [kept, new])
+    gevent.sleep(harness.CONFIG_APPLY_S)
+    broken = 0
+    ends = record.now() + CHECKED_S
     count = 0
-    while record.now() < acknowledged_at + CHECKED_S:
+    while record.now() < ends:
         for machine in machines:
             count += 1
-            harness.send_request(record, machine, "r", f"late-{count}")
-        gevent.sleep(0.1)
-    late = [
-        run
-        for run in leaving.runs
-        if run.at > acknowledged_at + harness.DRAIN_S
-    ]
-    record.write(
-        f"{len(late)} of {count} requests reached {leaving.id} later than"
-        f" {harness.DRAIN_S} s after the acknowledgement"
-    )
-    return not late
+            status = harness.send_request(
+                record, machine, "new", f"new-{count}"
+            )
+            if status == 404:
+                record.write(f"CONFIG: {machine.name} refuses a route of r3")
+                broken += 1
+            status = harness.send_request(
+                record, machine, "old", f"old-{count}"
+            )
+            if status == 200:
+                record.write(f"CONFIG: {machine.name} serves a dropped route")
+                broken += 1
+        gevent.sleep(0.25)
+    record.write(f"requests handled as only an older version allows: {broken}")
+    return broken == 0
 
 
 if __name__ == "__main__":
