--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,12 +18,12 @@
 TIMEOUT_MS = 5000
 CLIENTS = 6
 #: A client reads this many bytes at a time, with a pause before each read.
-READ_BYTES = 3_000
+READ_BYTES = 2_500
 READ_PAUSE_S = 0.3
 RECEIVE_BUFFER_BYTES = 4_096
 #: Seconds from the first request until the client sends the second one. It has
-#: read about 27 KB of the first answer then.
-SECOND_AFTER_S = 2.95
+#: read about 25 KB of the first answer then.
+SECOND_AFTER_S = 3.1
 #: Seconds from the first requests to SIGTERM; the upstream has answered then.
 STOP_AFTER_S = 0.1
 
