--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 from gevent import socket as gevent_socket
 
 from flamingolug import http1
-from review.common import harness
+from review import harness
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 SERVICE = "alpha"
@@ -109,6 +109,10 @@
     ran = {
         run.request_id for each in installation.upstreams for run in each.runs
     }
+    if len(ran & {f"client-{number}-first" for number in range(CLIENTS)}) < (
+        CLIENTS
+    ):
+        raise harness.CouldNotRunError("a first request did not run")
     lost = [
         number
         for number, client in enumerate(clients)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 
 import gevent
 
-from review.common import harness
+from review import harness
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 SERVICE = "alpha"
@@ -74,11 +74,15 @@
     in_touch_at = restarted_at + harness.TOUCH_S + 0.2
     gevent.sleep(max(in_touch_at - record.now(), 0.0))
     count = 0
+    served = 0
     while record.now() < started_at + REQUESTS_END_S:
         for machine in machines:
             count += 1
-            harness.send_request(record, machine, "r", f"late-{count}")
+            status = harness.send_request(record, machine, "r", f"late-{count}")
+            served += status == 200
         gevent.sleep(0.1)
+    if not served:
+        raise harness.CouldNotRunError("no late request is served")
     late = [
         run
         for run in leaving.runs
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,11 +5,11 @@
 
 import gevent
 
-from review.common import harness
+from review import harness
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 #: Seconds for which the store gives one of three machines no response.
-SILENT_S = 9.0
+SILENT_S = 8.5
 #: Seconds from the end of the silence to the change that is checked.
 CALM_S = harness.TOUCH_S + 1.0
 #: Seconds over which requests are sent, from `ConfigApplyMs` on.
@@ -52,12 +52,14 @@
     broken = 0
     ends = record.now() + CHECKED_S
     count = 0
+    served = 0
     while record.now() < ends:
         for machine in machines:
             count += 1
             status = harness.send_request(
                 record, machine, "new", f"new-{count}"
             )
+            served += status == 200
             if status == 404:
                 record.write(f"CONFIG: {machine.name} refuses a route of r3")
                 broken += 1
@@ -68,6 +70,8 @@
                 record.write(f"CONFIG: {machine.name} serves a dropped route")
                 broken += 1
         gevent.sleep(0.25)
+    if not served:
+        raise harness.CouldNotRunError("no request of the new route is served")
     record.write(f"requests handled as only an older version allows: {broken}")
     return broken == 0
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="$PWD/target/deps:$PWD" python3 -c \
-    'import review.common.harness, flamingolug_standins.leased_store'
+    'import review.harness, flamingolug_standins.leased_store'
--- a/review/common/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Shared parts of the review's scripts."""
--- a/review/common/harness.py
+++ b/review/harness.py
@@ -30,7 +30,7 @@
 from flamingolug import http1
 from flamingolug_standins import leased_store
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST_NAME = "shop.example"
 #: Bounds of the installation qsl-testlog; the settings of a node contain them.
 BOUNDS = {
@@ -62,6 +62,12 @@
 COULD_NOT_RUN = 2
 _LIMITS = http1.MessageLimits(65536, MAX_BODY_BYTES)
 _STARTUP_S = 20.0
+#: Seconds after which a case is given up.
+MAX_DURATION_S = 100.0
+#: Loopback addresses of the store and of the first machine.
+_STORE_HOST = "127.0.1.2"
+_FIRST_MACHINE = 10
+_MAX_MACHINES = 3
 
 
 class CouldNotRunError(Exception):
@@ -209,7 +215,7 @@
         self.name = f"node-{index}"
         self.service = service
         self.zone = zone
-        self.host = f"127.0.1.{10 + index}"
+        self.host = _machine_host(index)
         base = installation.base_port
         self.outbound = (self.host, base + 1)
         self.ready = (self.host, base + 2)
@@ -475,7 +481,7 @@
         self.record = record
         self.folder = folder
         self.base_port = _find_base_port()
-        self.store = leased_store.LeasedStore("127.0.1.2", self.base_port)
+        self.store = leased_store.LeasedStore(_STORE_HOST, self.base_port)
         self.machines: list[Machine] = []
         self.upstreams: list[Upstream] = []
 
@@ -593,18 +599,27 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     record.write(f"trouble: {trouble}")
-    with tempfile.TemporaryDirectory() as temporary:
-        installation = Installation(record, pathlib.Path(temporary))
-        try:
-            with gevent.Timeout(100.0):
-                held = play(installation, trouble)
-        except (CouldNotRunError, gevent.Timeout) as exc:
-            record.write(f"could not run: {exc!r}")
-            print(f"could not run: {exc!r}", file=sys.stderr)
-            return COULD_NOT_RUN
-        finally:
-            installation.end()
-            _keep_logs(installation)
+    script = gevent.getcurrent()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(
+            number,
+            lambda: gevent.kill(script, CouldNotRunError("stopped")),
+        )
+    try:
+        with tempfile.TemporaryDirectory() as temporary:
+            installation = Installation(record, pathlib.Path(temporary))
+            try:
+                with gevent.Timeout(MAX_DURATION_S):
+                    held = play(installation, trouble)
+            finally:
+                installation.end()
+                _keep_logs(installation)
+    except (Exception, gevent.Timeout) as exc:
+        # An uncaught exception would end the script with status 1, as a broken
+        # rule does.
+        record.write(f"could not run: {exc!r}")
+        print(f"could not run: {exc!r}", file=sys.stderr)
+        return COULD_NOT_RUN
     record.write("the rule held" if held else "the rule was broken")
     return HELD if held else BROKEN
 
@@ -618,14 +633,21 @@
         (pathlib.Path(target) / path.name).write_bytes(path.read_bytes())
 
 
+def _machine_host(index: int) -> str:
+    """Returns the loopback address of a machine."""
+    return f"127.0.1.{_FIRST_MACHINE + index}"
+
+
 def _find_base_port() -> int:
-    """Returns the first of ten ports that are free."""
+    """Returns the first of ten ports that are free on all addresses."""
+    hosts = [_STORE_HOST, *map(_machine_host, range(_MAX_MACHINES))]
     for _ in range(50):
         base = random.randrange(12_000, 30_000, 10)
         try:
-            for offset in range(10):
-                with socket.socket() as sock:
-                    sock.bind(("127.0.1.10", base + offset))
+            for host in hosts:
+                for offset in range(10):
+                    with socket.socket() as sock:
+                        sock.bind((host, base + offset))
         except OSError:
             continue
         return base
