Move the node processes of the tests to a module of their own

Tests of other faults need nodes that are started again. `start` is a method, so that a node that has ended can be started with its settings.

--- /dev/null
+++ b/flamingolug/platform/tests/processes.py
@@ -0,0 +1,262 @@
+"""Nodes in processes of their own, and connections of callers to them."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import gevent
+from gevent import socket as gevent_socket
+
+from flamingolug import http1
+from flamingolug import platform
+from flamingolug.platform.tests import deployment
+from flamingolug_standins import documents
+from flamingolug_standins import sealing_server
+
+#: Shortened times of a stop, seconds.
+ACCEPT_S = 0.3
+GRACE_S = 3.0
+#: Offsets of the ports of a node process from `deployment._BASE_PORT`.
+_LINK = 35
+_METRICS = 36
+_PROGRAM = """\
+import sys
+from flamingolug.gateway import _program
+assert _program.ACCEPT_AFTER_STOP_S > 0.0
+_program.ACCEPT_AFTER_STOP_S = float(sys.argv[1])
+from flamingolug import launcher
+sys.exit(launcher.main())
+"""
+_SETTINGS_TEMPLATE = """\
+NodeName = "node-{host}"
+Ip = "{host}"
+Zone = "z1"
+InternalPorts = [{link}, {metrics}]
+AppAddr = "{host}:{app}"
+Service = "{service}"
+HeartbeatMs = 1500
+[ListenAddrs]
+Outbound = "{host}:{outbound}"
+Ready = "{host}:{ready}"
+Control = "{host}:{control}"
+[Bounds]
+GracePeriodS = {grace}
+[Platform]
+Address = "{store}"
+TtlMinMs = 1000
+"""
+
+
+class NodeProcess:
+    """A node in a process of its own, with its server in the test process.
+
+    The kernel closes the sockets of a process that exits, which a node in the
+    test process does not show.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        test_deployment: deployment.Deployment,
+        accept_s: float = ACCEPT_S,
+        grace_s: float = GRACE_S,
+    ) -> None:
+        """Starts the node and its server; waits until it serves."""
+        self.host = f"127.0.0.{next(deployment._HOSTS) + 10}"
+        base = deployment._BASE_PORT
+        self.outbound = (self.host, base + deployment._OUTBOUND)
+        self.link = (self.host, base + _LINK)
+        self._ready = (self.host, base + deployment._READY)
+        control = (self.host, base + deployment._CONTROL)
+        self.server = sealing_server.SealingServer(
+            service, self.host, base + deployment._APP, control
+        )
+        self._directory = tempfile.TemporaryDirectory()
+        path = pathlib.Path(self._directory.name) / "node.toml"
+        store = test_deployment.store.address
+        path.write_text(
+            _SETTINGS_TEMPLATE.format(
+                host=self.host,
+                service=service,
+                grace=grace_s,
+                link=self.link[1],
+                metrics=base + _METRICS,
+                app=base + deployment._APP,
+                outbound=self.outbound[1],
+                ready=self._ready[1],
+                control=control[1],
+                store=f"{store[0]}:{store[1]}",
+            )
+        )
+        self._environment = os.environ | {platform.SETTINGS_VARIABLE: str(path)}
+        self._accept_s = accept_s
+        self.stopped_at = 0.0
+        self.start()
+        assert self.server.report() == 200
+        deployment.wait_until(self._serves, "the node process serves")
+
+    def start(self) -> None:
+        """Starts the process; waits until it is ready."""
+        self.process = subprocess.Popen(
+            [sys.executable, "-c", _PROGRAM, str(self._accept_s)],
+            env=self._environment,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+        deployment.wait_until(self._is_ready, "the node process is ready")
+
+    def stop(self) -> None:
+        """Sends SIGTERM."""
+        self.stopped_at = time.monotonic()
+        self.process.send_signal(signal.SIGTERM)
+
+    def wait(self) -> float:
+        """Waits for the exit; returns the seconds since `stop`."""
+        deployment.wait_until(
+            lambda: self.process.poll() is not None, "the process exits"
+        )
+        return time.monotonic() - self.stopped_at
+
+    def close(self) -> None:
+        """Kills the process if it still runs and stops the server."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.server.stop()
+        self._directory.cleanup()
+
+    def _is_ready(self) -> bool:
+        try:
+            return ask_once(self._ready, b"/v1/ready", "") == 200
+        except OSError:
+            return False
+
+    def _serves(self) -> bool:
+        request_id = f"probe-{time.monotonic()}"
+        return ask_once(self.outbound, b"/read/x", request_id) == 200
+
+
+class Caller:
+    """One connection of a caller; records what the socket delivers.
+
+    Attributes:
+        sent_ids: ids of the requests sent, in order.
+        sent_at: clock reading at which each request was sent.
+        answers: complete answers, in order.
+        ended: whether the connection has ended.
+        error: error with which the connection ended, empty for none.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], receive_buffer: int = 0
+    ) -> None:
+        """Connects; `receive_buffer` limits what the caller's host buffers."""
+        sock = gevent_socket.socket()
+        if receive_buffer:
+            sock.setsockopt(
+                gevent_socket.SOL_SOCKET,
+                gevent_socket.SO_RCVBUF,
+                receive_buffer,
+            )
+        sock.settimeout(5.0)
+        sock.connect(address)
+        sock.settimeout(None)
+        self.sent_ids: list[str] = []
+        self.sent_at: dict[str, float] = {}
+        self.answers: list[http1.Response] = []
+        self.ended = False
+        self.error = ""
+        self._sock = sock
+        self._reader = http1.ResponseReader()
+
+    def send(
+        self, request_id: str, route: str = "read", method: bytes = b"GET"
+    ) -> None:
+        """Sends a request."""
+        self.sent_ids.append(request_id)
+        self.sent_at[request_id] = time.monotonic()
+        self.send_bytes(deployment.make_request(route, request_id, method))
+
+    def send_bytes(self, data: bytes) -> None:
+        """Sends bytes; records the error if the connection has ended."""
+        try:
+            self._sock.sendall(data)
+        except OSError as exc:
+            self.ended = True
+            self.error = repr(exc)
+
+    def read(self, size: int = 65536) -> list[http1.Response]:
+        """Reads once; returns the answers that it completes."""
+        try:
+            data = self._sock.recv(size)
+        except OSError as exc:
+            self.ended = True
+            self.error = repr(exc)
+            return []
+        if not data:
+            self.ended = True
+            self.close()
+            return []
+        self._reader.feed(data)
+        assert not self._reader.broken
+        completed = list(self._reader.ready)
+        self._reader.ready.clear()
+        self.answers += completed
+        return completed
+
+    def read_to_end(self, pause_s: float = 0.0, size: int = 65536) -> None:
+        """Reads until the connection ends, with pauses between reads."""
+        while not self.ended:
+            self.read(size)
+            gevent.sleep(pause_s)
+
+    def cut_ids(self, server: sealing_server.SealingServer) -> list[str]:
+        """Returns requests that reached the server and got no answer.
+
+        A refusal does not count as an answer to a request that ran.
+        """
+        answered = {
+            answer.header(b"x-attempt-id").decode()
+            for answer in self.answers
+            if answer.status == 200
+        }
+        executed = set(server.executed_ids)
+        return [
+            each
+            for each in self.sent_ids
+            if each in executed and each not in answered
+        ]
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._sock.close()
+
+
+def ask_once(
+    address: tuple[str, int],
+    target: bytes,
+    request_id: str,
+    deadline_ms: int = 3000,
+) -> int:
+    """Sends one request on a new connection; returns the status, 0 for none."""
+    caller = Caller(address)
+    caller.send_bytes(
+        http1.format_request(
+            b"GET",
+            target,
+            [
+                (b"host", documents.HOST.encode()),
+                (b"x-attempt-id", request_id.encode()),
+                (b"x-deadline-ms", str(deadline_ms).encode()),
+                (b"connection", b"close"),
+            ],
+            b"",
+        )
+    )
+    caller.read_to_end()
+    caller.close()
+    return caller.answers[0].status if caller.answers else 0
--- a/flamingolug/platform/tests/test_lost.py
+++ b/flamingolug/platform/tests/test_lost.py
@@ -1,11 +1,6 @@
 """Requests and answers that a stopping node, or a slow caller, could lose."""
 
-import os
-import pathlib
 import signal
-import subprocess
-import sys
-import tempfile
 import time
 import unittest
 from collections.abc import Callable
@@ -15,7 +10,6 @@
 from gevent import socket as gevent_socket
 
 from flamingolug import http1
-from flamingolug import platform
 from flamingolug.gateway import _call_origins
 from flamingolug.gateway import _dynamic_table
 from flamingolug.gateway import _frames
@@ -24,8 +18,8 @@
 from flamingolug.gateway import _program
 from flamingolug.gateway import _request
 from flamingolug.platform.tests import deployment
+from flamingolug.platform.tests import processes
 from flamingolug_standins import documents
-from flamingolug_standins import sealing_server
 
 _ROUTES = [
     documents.make_route("read", "shelf"),
@@ -34,12 +28,6 @@
         "hold", "front", TimeoutMs=8000, Kind="non_idempotent"
     ),
 ]
-#: Shortened times of a stop, seconds.
-_ACCEPT_S = 0.3
-_GRACE_S = 3.0
-#: Offsets of the ports of a node process from `deployment._BASE_PORT`.
-_LINK = 35
-_METRICS = 36
 #: Receive buffer of a slow caller, bytes; most of an answer stays at the node.
 _SMALL_BUFFER_BYTES = 4096
 #: Receive buffer of a caller that reads less slowly, bytes.
@@ -48,237 +36,6 @@
 _BUFFERED_BYTES = 300_000
 #: Size of an answer that exceeds the buffers of both sockets.
 _UNBUFFERED_BYTES = 8_000_000
-_PROGRAM = """\
-import sys
-from flamingolug.gateway import _program
-assert _program.ACCEPT_AFTER_STOP_S > 0.0
-_program.ACCEPT_AFTER_STOP_S = float(sys.argv[1])
-from flamingolug import launcher
-sys.exit(launcher.main())
-"""
-_SETTINGS_TEMPLATE = """\
-NodeName = "node-{host}"
-Ip = "{host}"
-Zone = "z1"
-InternalPorts = [{link}, {metrics}]
-AppAddr = "{host}:{app}"
-Service = "{service}"
-HeartbeatMs = 1500
-[ListenAddrs]
-Outbound = "{host}:{outbound}"
-Ready = "{host}:{ready}"
-Control = "{host}:{control}"
-[Bounds]
-GracePeriodS = {grace}
-[Platform]
-Address = "{store}"
-TtlMinMs = 1000
-"""
-
-
-class NodeProcess:
-    """A node in a process of its own, with its server in the test process.
-
-    The kernel closes the sockets of a process that exits, which a node in the
-    test process does not show.
-    """
-
-    def __init__(
-        self,
-        service: str,
-        test_deployment: deployment.Deployment,
-        accept_s: float = _ACCEPT_S,
-        grace_s: float = _GRACE_S,
-    ) -> None:
-        """Starts the node and its server; waits until it serves."""
-        self.host = f"127.0.0.{next(deployment._HOSTS) + 10}"
-        base = deployment._BASE_PORT
-        self.outbound = (self.host, base + deployment._OUTBOUND)
-        self.link = (self.host, base + _LINK)
-        self._ready = (self.host, base + deployment._READY)
-        control = (self.host, base + deployment._CONTROL)
-        self.server = sealing_server.SealingServer(
-            service, self.host, base + deployment._APP, control
-        )
-        self._directory = tempfile.TemporaryDirectory()
-        path = pathlib.Path(self._directory.name) / "node.toml"
-        store = test_deployment.store.address
-        path.write_text(
-            _SETTINGS_TEMPLATE.format(
-                host=self.host,
-                service=service,
-                grace=grace_s,
-                link=self.link[1],
-                metrics=base + _METRICS,
-                app=base + deployment._APP,
-                outbound=self.outbound[1],
-                ready=self._ready[1],
-                control=control[1],
-                store=f"{store[0]}:{store[1]}",
-            )
-        )
-        self.process = subprocess.Popen(
-            [sys.executable, "-c", _PROGRAM, str(accept_s)],
-            env=os.environ | {platform.SETTINGS_VARIABLE: str(path)},
-            stdout=subprocess.DEVNULL,
-            stderr=subprocess.DEVNULL,
-        )
-        self.stopped_at = 0.0
-        deployment.wait_until(self._is_ready, "the node process is ready")
-        assert self.server.report() == 200
-        deployment.wait_until(self._serves, "the node process serves")
-
-    def stop(self) -> None:
-        """Sends SIGTERM."""
-        self.stopped_at = time.monotonic()
-        self.process.send_signal(signal.SIGTERM)
-
-    def wait(self) -> float:
-        """Waits for the exit; returns the seconds since `stop`."""
-        deployment.wait_until(
-            lambda: self.process.poll() is not None, "the process exits"
-        )
-        return time.monotonic() - self.stopped_at
-
-    def close(self) -> None:
-        """Kills the process if it still runs and stops the server."""
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
-        self.server.stop()
-        self._directory.cleanup()
-
-    def _is_ready(self) -> bool:
-        try:
-            return _ask_once(self._ready, b"/v1/ready", "") == 200
-        except OSError:
-            return False
-
-    def _serves(self) -> bool:
-        request_id = f"probe-{time.monotonic()}"
-        return _ask_once(self.outbound, b"/read/x", request_id) == 200
-
-
-class Caller:
-    """One connection of a caller; records what the socket delivers.
-
-    Attributes:
-        sent_ids: ids of the requests sent, in order.
-        sent_at: clock reading at which each request was sent.
-        answers: complete answers, in order.
-        ended: whether the connection has ended.
-        error: error with which the connection ended, empty for none.
-    """
-
-    def __init__(
-        self, address: tuple[str, int], receive_buffer: int = 0
-    ) -> None:
-        """Connects; `receive_buffer` limits what the caller's host buffers."""
-        sock = gevent_socket.socket()
-        if receive_buffer:
-            sock.setsockopt(
-                gevent_socket.SOL_SOCKET,
-                gevent_socket.SO_RCVBUF,
-                receive_buffer,
-            )
-        sock.settimeout(5.0)
-        sock.connect(address)
-        sock.settimeout(None)
-        self.sent_ids: list[str] = []
-        self.sent_at: dict[str, float] = {}
-        self.answers: list[http1.Response] = []
-        self.ended = False
-        self.error = ""
-        self._sock = sock
-        self._reader = http1.ResponseReader()
-
-    def send(
-        self, request_id: str, route: str = "read", method: bytes = b"GET"
-    ) -> None:
-        """Sends a request."""
-        self.sent_ids.append(request_id)
-        self.sent_at[request_id] = time.monotonic()
-        self.send_bytes(deployment.make_request(route, request_id, method))
-
-    def send_bytes(self, data: bytes) -> None:
-        """Sends bytes; records the error if the connection has ended."""
-        try:
-            self._sock.sendall(data)
-        except OSError as exc:
-            self.ended = True
-            self.error = repr(exc)
-
-    def read(self, size: int = 65536) -> list[http1.Response]:
-        """Reads once; returns the answers that it completes."""
-        try:
-            data = self._sock.recv(size)
-        except OSError as exc:
-            self.ended = True
-            self.error = repr(exc)
-            return []
-        if not data:
-            self.ended = True
-            self.close()
-            return []
-        self._reader.feed(data)
-        assert not self._reader.broken
-        completed = list(self._reader.ready)
-        self._reader.ready.clear()
-        self.answers += completed
-        return completed
-
-    def read_to_end(self, pause_s: float = 0.0, size: int = 65536) -> None:
-        """Reads until the connection ends, with pauses between reads."""
-        while not self.ended:
-            self.read(size)
-            gevent.sleep(pause_s)
-
-    def cut_ids(self, server: sealing_server.SealingServer) -> list[str]:
-        """Returns requests that reached the server and got no answer.
-
-        A refusal does not count as an answer to a request that ran.
-        """
-        answered = {
-            answer.header(b"x-attempt-id").decode()
-            for answer in self.answers
-            if answer.status == 200
-        }
-        executed = set(server.executed_ids)
-        return [
-            each
-            for each in self.sent_ids
-            if each in executed and each not in answered
-        ]
-
-    def close(self) -> None:
-        """Closes the connection."""
-        self._sock.close()
-
-
-def _ask_once(
-    address: tuple[str, int],
-    target: bytes,
-    request_id: str,
-    deadline_ms: int = 3000,
-) -> int:
-    """Sends one request on a new connection; returns the status, 0 for none."""
-    caller = Caller(address)
-    caller.send_bytes(
-        http1.format_request(
-            b"GET",
-            target,
-            [
-                (b"host", documents.HOST.encode()),
-                (b"x-attempt-id", request_id.encode()),
-                (b"x-deadline-ms", str(deadline_ms).encode()),
-                (b"connection", b"close"),
-            ],
-            b"",
-        )
-    )
-    caller.read_to_end()
-    caller.close()
-    return caller.answers[0].status if caller.answers else 0
 
 
 def _enlarge(size: int) -> Callable[[http1.Request, bytes], bytes]:
@@ -307,26 +64,26 @@
 
     def setUp(self) -> None:
         self.deployment = deployment.Deployment(
-            self.services, _ROUTES, _GRACE_S
+            self.services, _ROUTES, processes.GRACE_S
         )
         self.addCleanup(self.deployment.stop)
         self.shelf = self.deployment.instances[0]
 
     def start_process(
-        self, service: str = "front", accept_s: float = _ACCEPT_S
-    ) -> NodeProcess:
-        node = NodeProcess(service, self.deployment, accept_s)
+        self, service: str = "front", accept_s: float = processes.ACCEPT_S
+    ) -> processes.NodeProcess:
+        node = processes.NodeProcess(service, self.deployment, accept_s)
         self.addCleanup(node.close)
         return node
 
     def connect(
         self, address: tuple[str, int], receive_buffer: int = 0
-    ) -> Caller:
-        caller = Caller(address, receive_buffer)
+    ) -> processes.Caller:
+        caller = processes.Caller(address, receive_buffer)
         self.addCleanup(caller.close)
         return caller
 
-    def assert_received(self, caller: Caller, *sizes: int) -> None:
+    def assert_received(self, caller: processes.Caller, *sizes: int) -> None:
         """Checks the sizes of the bodies that a caller received."""
         received = [len(each.body) for each in caller.answers]
         self.assertEqual(received, list(sizes), caller.error)
@@ -354,12 +111,14 @@
         self.assertEqual(caller.cut_ids(self.shelf.server), [])
         self.assertTrue(told_to_close)
         self.assertEqual(caller.error, "")
-        self.assertLess(took_s, 2 * _GRACE_S / 3)
+        self.assertLess(took_s, 2 * processes.GRACE_S / 3)
         self.assertEqual(front.process.returncode, 0)
 
 
 class BusyGateAtStopTest(_LostTest):
-    def _hold_gate(self, front: NodeProcess, service_s: float) -> Caller:
+    def _hold_gate(
+        self, front: processes.NodeProcess, service_s: float
+    ) -> processes.Caller:
         """Starts a call at the server beside `front`."""
         front.server.service_s = service_s
         self.shelf.wait_for_upstreams(("front",))
@@ -377,8 +136,8 @@
         front = self.start_process()
         self.shelf.server.service_s = 0.3
         # Longer than the node waits for it.
-        self._hold_gate(front, _GRACE_S - 0.1)
-        callers: list[Caller] = []
+        self._hold_gate(front, processes.GRACE_S - 0.1)
+        callers: list[processes.Caller] = []
         if reuse_connections:
             callers = [self.connect(front.outbound) for _ in range(26)]
         readers: list[gevent.Greenlet[..., None]] = []
@@ -428,7 +187,7 @@
             # A call has the time that is left of the request that makes it.
             left_ms = 1250 - 250 * number
             statuses.append(
-                _ask_once(
+                processes.ask_once(
                     front.outbound, b"/read/x", f"nested{number}", left_ms
                 )
             )
@@ -468,7 +227,7 @@
         self,
     ) -> None:
         front = self.start_process()
-        front.server.service_s = 2 * _GRACE_S
+        front.server.service_s = 2 * processes.GRACE_S
         caller = self.connect(front.outbound)
         caller.send("long", "home")
         deployment.wait_until(lambda: front.server.running > 0, "request runs")
@@ -477,7 +236,7 @@
         took_s = front.wait()
         self.assertEqual([each.status for each in caller.answers], [502])
         self.assertEqual(caller.error, "")
-        self.assertLess(took_s, _GRACE_S)
+        self.assertLess(took_s, processes.GRACE_S)
         self.assertEqual(front.process.returncode, 0)
 
 
@@ -486,7 +245,9 @@
 
     services = ("shelf", "front")
 
-    def _receive_slowly(self, caller: Caller, request_id: str) -> None:
+    def _receive_slowly(
+        self, caller: processes.Caller, request_id: str
+    ) -> None:
         """Sends a further request late, then reads the answer."""
         gevent.sleep(1.0)
         caller.send(request_id)
@@ -639,7 +400,7 @@
             "in the send buffer": _BUFFERED_BYTES,
             "beyond the send buffer": _UNBUFFERED_BYTES,
         }
-        callers: dict[str, Caller] = {}
+        callers: dict[str, processes.Caller] = {}
         for name, size in sizes.items():
             self.shelf.server.rewrite_response = _enlarge(size)
             caller = self.connect(
@@ -771,7 +532,7 @@
         gevent.sleep(0.05)
         front.stop()
         # Keeps the node busy for a moment beyond the accept period.
-        gevent.sleep(_ACCEPT_S - 0.1)
+        gevent.sleep(processes.ACCEPT_S - 0.1)
         last.send("last")
         requests: list[bytes] = []
         for number, caller in enumerate(callers):
