Acknowledge a departure once its record outlasts the node

The restarted node accepted a report from before the notice and sent 18 of 36 requests to the upstream, 5.5 to 8 s after the acknowledgement.

Cause: the acknowledgement did not depend on a record in the store. The next process then finds no entry and accepts the late report (`upstream.reported state=ready sequence=4`). Ruled out: a store that lost the entry (it was never written), and a new process that does not look (test_report_after_a_leave finds the tombstone when there is one).

Same cause elsewhere, each with a test that failed before: a `draining` report during a stop; an earlier one, whose entry a stop removed with the node's lease; a notice before the first report of the process; a notice that comes while the ready state is being written, which counted as the write of the departure; a stop that ended before an acknowledged departure was written.

Change: entries of upstreams that drain or have left have a lease of their own. The announcer runs until the process ends; a stop only removes the entry of an upstream in use, in the announcer's own task, so it can't overtake a write. A notice is answered when the record of this upstream is written. A stop waits for the record and for notices in progress.

Paths read: reports (ready, draining), leave notices, outdated reports, the silence of an upstream (its record now outlasts it), on_removed, lost leases, the stop, and the acknowledgements of the demo product (swap of a manifest, ownership lease: both answer after the write).

--- a/flamingolug/gateway/_announcer.py
+++ b/flamingolug/gateway/_announcer.py
@@ -22,10 +22,12 @@
 LEASE_TTL_S = 8.0
 #: Seconds between renewals: two may fail before the lease ends.
 RENEWAL_INTERVAL_S = 2.5
-#: Time to live of a tombstone, the entry of an upstream in state `gone`,
-#: seconds. By it, a restarted node recognises delayed reports of that upstream,
-#: which arrive within this time.
-TOMBSTONE_TTL_S = 60.0
+#: Time to live of the entry of an upstream that leaves or has left, seconds. A
+#: restarted node recognises delayed reports of that upstream by it; they arrive
+#: within this time.
+DEPARTURE_TTL_S = 60.0
+#: Seconds between renewals of that lease.
+DEPARTURE_RENEWAL_S = 20.0
 
 
 class Dependencies(NamedTuple):
@@ -40,6 +42,59 @@
     revision_of: Callable[[str], int]
 
 
+class _HeldLease:
+    """A lease that is granted when it is first needed, and renewed when due."""
+
+    def __init__(
+        self, deps: Dependencies, ttl_s: float, renewal_interval_s: float
+    ) -> None:
+        """Creates a holder without a lease."""
+        #: Number of the lease, 0 for none.
+        self.number = 0
+        self._deps = deps
+        self._ttl_s = ttl_s
+        self._renewal_interval_s = renewal_interval_s
+        self._renewed_at = 0.0
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the lease was granted or renewed."""
+        return self._deps.timers.now() - self._renewed_at
+
+    def hold(self) -> int:
+        """Returns the lease, granted or renewed if necessary.
+
+        Raises:
+            LeaseLostError: the lease has ended.
+            StoreError: the call failed.
+        """
+        now = self._deps.timers.now()
+        if not self.number:
+            ttl_s = max(self._ttl_s, self._deps.cfg.min_lease_s)
+            self.number = self._deps.store.grant_lease(ttl_s)
+            self._renewed_at = now
+        # Nine tenths: a slightly early wake-up does not skip a renewal.
+        elif self.age_s > self._renewal_interval_s * 0.9:
+            self._deps.store.renew_lease(self.number)
+            self._renewed_at = now
+        return self.number
+
+    def end(self) -> None:
+        """Ends the lease in the store, which removes its entries.
+
+        Raises:
+            LeaseLostError: the lease has ended already.
+            StoreError: the call failed.
+        """
+        if self.number:
+            self._deps.store.end_lease(self.number)
+            self.forget()
+
+    def forget(self) -> None:
+        """Lets the lease lapse; the next use grants another one."""
+        self.number = 0
+
+
 class Announcer:
     """Writes the upstream's entry when it changes and renews its lease."""
 
@@ -48,12 +103,17 @@
         self._deps = deps
         self._wake = event.Event()
         self._task: gevent.Greenlet[[], None] | None = None
-        #: Lease of the entry, 0 for none.
-        self._lease = 0
-        self._renewed_at = 0.0
+        #: Lease of the entry of an upstream in use.
+        self._ready_lease = _HeldLease(deps, LEASE_TTL_S, RENEWAL_INTERVAL_S)
+        #: Lease of the entry of an upstream that is leaving or has left; it
+        #: outlasts the node.
+        self._departure_lease = _HeldLease(
+            deps, DEPARTURE_TTL_S, DEPARTURE_RENEWAL_S
+        )
         #: Entry as written last, None if it has to be written.
         self._written: _model.Upstream | None = None
-        self._stopped = False
+        #: Whether an upstream in use is no longer announced.
+        self._withdrawn = False
         #: Revision of the entry that this node wrote last, by its key; empty
         #: if it must be read from the store.
         self._revisions: dict[str, int] = {}
@@ -67,10 +127,27 @@
         self._task = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Stops renewing the lease; the entry lapses unless withdrawn."""
+        """Stops writing entries and renewing leases, which then lapse."""
         if self._task is not None:
             self._task.kill(block=False)
 
+    @property
+    def has_unwritten_departure(self) -> bool:
+        """Whether the upstream is leaving and the store does not say so."""
+        desired = self._make_entry()
+        if desired is None or desired.state is _model.UpstreamState.READY:
+            return False
+        return not self._is_written(desired)
+
+    def has_departure(self, upstream_id: str) -> bool:
+        """Returns whether the store says that an upstream leaves."""
+        written = self._written
+        if written is None or written.id != upstream_id:
+            return False
+        if written.state is _model.UpstreamState.READY:
+            return False
+        return not self.has_unwritten_departure
+
     def publish(self, wait_s: float = 0.0) -> bool:
         """Requests a write of the entry.
 
@@ -95,14 +172,12 @@
             self._wake.set()
 
     def withdraw(self) -> None:
-        """Ends the lease, which removes the entry unless it is a tombstone."""
-        self._stopped = True
-        if not self._lease:
-            return
-        try:
-            self._deps.store.end_lease(self._lease)
-        except errors.StoreError as exc:
-            telemetry.failure(_LOGGER, "announcement.not_removed", exc)
+        """Requests the removal of the entry of an upstream in use.
+
+        If the upstream leaves later, that is still written.
+        """
+        self._withdrawn = True
+        self._wake.set()
 
     def _make_entry(self) -> _model.Upstream | None:
         report = self._deps.report()
@@ -121,26 +196,22 @@
             report.sequence,
         )
 
+    def _is_written(self, desired: _model.Upstream) -> bool:
+        """Returns whether the entry in the store is up to date."""
+        written = self._written
+        if written is None:
+            return False
+        return written._replace(sequence=0) == desired._replace(sequence=0)
+
     def _run(self) -> None:
         backoff = _backoff.Backoff("announcement")
-        while not self._stopped:
+        while True:
             self._wake.wait(RENEWAL_INTERVAL_S)
             self._wake.clear()
-            if self._stopped:
-                return
             try:
                 self._update_store()
             except errors.LeaseLostError:
-                telemetry.event(
-                    _LOGGER,
-                    "lease.lost",
-                    lease=self._lease,
-                    age_s=round(self._deps.timers.now() - self._renewed_at, 2),
-                )
-                self._lease = 0
-                self._written = None
-                self._revisions.clear()
-                self._wake.set()
+                self._handle_lost_lease()
             except errors.StoreConflictError as exc:
                 telemetry.failure(_LOGGER, "announcement.conflict", exc)
                 backoff.wait(exc)
@@ -151,35 +222,48 @@
             else:
                 backoff.reset()
 
+    def _handle_lost_lease(self) -> None:
+        """Forgets both leases: the answer does not say which has ended."""
+        for lease in (self._ready_lease, self._departure_lease):
+            if lease.number:
+                telemetry.event(
+                    _LOGGER,
+                    "lease.lost",
+                    lease=lease.number,
+                    age_s=round(lease.age_s, 2),
+                )
+            lease.forget()
+        self._written = None
+        self._revisions.clear()
+        self._wake.set()
+
     def _update_store(self) -> None:
-        """Renews the lease when it is due and writes a changed entry."""
+        """Writes a changed entry, or removes it; renews its lease when due."""
         desired = self._make_entry()
         if desired is None:
             return
-        now = self._deps.timers.now()
-        if not self._lease:
-            self._lease = self._deps.store.grant_lease(
-                max(LEASE_TTL_S, self._deps.cfg.min_lease_s)
-            )
-            self._renewed_at = now
-        # Nine tenths: a slightly early wake-up does not skip a renewal.
-        elif now - self._renewed_at > RENEWAL_INTERVAL_S * 0.9:
-            self._deps.store.renew_lease(self._lease)
-            self._renewed_at = now
-        written = self._written
-        if written is None or written._replace(sequence=0) != desired._replace(
-            sequence=0
-        ):
-            self._write(desired)
-        self._published.set()
+        if desired.state is not _model.UpstreamState.READY:
+            lease, unused = self._departure_lease, self._ready_lease
+        elif self._withdrawn:
+            self._ready_lease.end()
+            self._written = None
+            self._revisions.clear()
+            return
+        else:
+            lease, unused = self._ready_lease, self._departure_lease
+        lease.hold()
+        if not self._is_written(desired):
+            self._write(desired, lease.number)
+        unused.forget()
+        current = self._make_entry()
+        # The upstream may have reported again during the calls.
+        if current is not None and self._is_written(current):
+            self._published.set()
 
-    def _write(self, desired: _model.Upstream) -> None:
+    def _write(self, desired: _model.Upstream, lease: int) -> None:
         key = _directory.PREFIX + desired.id
         value = _directory.encode_entry(desired)
         revision = self._find_revision(key)
-        lease = self._lease
-        if desired.state is _model.UpstreamState.GONE:
-            lease = self._deps.store.grant_lease(TOMBSTONE_TTL_S)
         deletes: list[str] = []
         written = self._written
         gone = _model.UpstreamState.GONE
--- a/flamingolug/gateway/_control_server.py
+++ b/flamingolug/gateway/_control_server.py
@@ -58,6 +58,13 @@
     def __init__(self, deps: Dependencies) -> None:
         """Creates a server."""
         self._deps = deps
+        #: Number of reports and leave notices in progress.
+        self._pending = 0
+
+    @property
+    def busy(self) -> bool:
+        """Whether a report or leave notice is in progress."""
+        return self._pending > 0
 
     @property
     def ready(self) -> bool:
@@ -88,12 +95,20 @@
         self, req: http1.Request
     ) -> tuple[int, http1.Headers, bytes]:
         """Handles a report or leave notice of the backend server."""
-        json = [(b"content-type", b"application/json")]
+        self._pending += 1
+        try:
+            status = self._handle(req)
+        finally:
+            self._pending -= 1
+        return status, [(b"content-type", b"application/json")], b"{}"
+
+    def _handle(self, req: http1.Request) -> int:
+        """Handles a report or leave notice; returns the response status."""
         deps = self._deps
         leaving_id = deps.decoder.leave(req)
         if leaving_id is not None:
-            self._handle_leave(leaving_id)
-            return 200, json, b"{}"
+            deps.gate.handle_leave(leaving_id)
+            return self._acknowledge_departure(leaving_id)
         report = deps.decoder.report(req, deps.cfg.identity.service)
         if report is None:
             telemetry.event(
@@ -102,8 +117,9 @@
                 level=logging.WARNING,
                 target=req.target.decode("latin-1"),
             )
-            return 400, json, b"{}"
-        if deps.gate.report is None:
+            return 400
+        known = deps.gate.report
+        if known is None or known.id != report.id:
             deps.directory.synced.wait(SYNC_WAIT_S)
             if self._is_outdated(report):
                 telemetry.event(
@@ -112,20 +128,37 @@
                     upstream=report.id,
                     sequence=report.sequence,
                 )
-                return 200, json, b"{}"
-        if deps.gate.handle_report(report):
-            leaving = report.state is not _model.UpstreamState.READY
-            self._publish(PUBLISH_WAIT_S if leaving else 0.0)
-        return 200, json, b"{}"
-
-    def _handle_leave(self, upstream_id: str) -> None:
-        if self._deps.gate.handle_leave(upstream_id):
-            self._publish(PUBLISH_WAIT_S)
-
-    def _publish(self, wait_s: float) -> None:
-        published = self._deps.announcer.publish(wait_s)
-        if wait_s and not published:
-            telemetry.event(_LOGGER, "announcement.late", wait_s=wait_s)
+                return 200
+        changed = deps.gate.handle_report(report)
+        if report.state is not _model.UpstreamState.READY:
+            return self._acknowledge_departure(report.id)
+        if changed:
+            deps.announcer.publish()
+        return 200
+
+    def _acknowledge_departure(self, upstream_id: str) -> int:
+        """Waits until the store has the departure; returns a response status.
+
+        A stopping node does not acknowledge one that is not in the store, since
+        the next process would not know of it. The backend server repeats its
+        notice then.
+        """
+        deps = self._deps
+        announcer = deps.announcer
+        if announcer.has_departure(upstream_id):
+            return 200
+        announcer.publish(PUBLISH_WAIT_S)
+        if announcer.has_departure(upstream_id):
+            return 200
+        refused = deps.stopping()
+        telemetry.event(
+            _LOGGER,
+            "announcement.late",
+            upstream=upstream_id,
+            wait_s=PUBLISH_WAIT_S,
+            refused=refused,
+        )
+        return 503 if refused else 200
 
     def _is_outdated(self, report: _model.Report) -> bool:
         """Returns whether the directory has a later state than a report.
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -237,7 +237,18 @@
     def handle_leave(self, upstream_id: str) -> bool:
         """Records that an upstream leaves; returns whether that is a change."""
         previous = self.report
-        if previous is None or previous.id != upstream_id:
+        if previous is None:
+            # Nothing is known of it but that it leaves.
+            previous = _model.Report(
+                upstream_id,
+                self._deps.cfg.identity.service,
+                slots=1,
+                state=_model.UpstreamState.DRAINING,
+                warmup_s=0.0,
+                start_time_ms=int(self._deps.timers.unix_time() * 1000),
+                sequence=0,
+            )
+        if previous.id != upstream_id:
             self._departed[upstream_id] = int(
                 self._deps.timers.unix_time() * 1000
             )
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -214,7 +214,8 @@
     handler.stopping_since = started_at
     gate.stop_accepting()
     announcer = parts.get("gateway.announcer", _announcer.Announcer)
-    gevent.spawn(announcer.withdraw)
+    announcer.withdraw()
+    control_server = parts.get("gateway.service", _control_server.ControlServer)
     deadline = started_at + grace_s - STOP_MARGIN_S
     refused_after = "-"
     gevent.sleep(min(ACCEPT_AFTER_STOP_S, deadline - started_at))
@@ -232,6 +233,8 @@
             # The entry may not know the connection accepted last yet.
             continue
         entry.close_idle()
+        if announcer.has_unwritten_departure or control_server.busy:
+            continue
         if not (entry.has_work or peer_server.has_output):
             break
     interrupted = entry.busy or gate.busy
@@ -248,6 +251,7 @@
         interrupted=interrupted,
         took_s=round(timers.now() - started_at, 3),
         refused_after_s=refused_after,
+        departure_lost=announcer.has_unwritten_departure,
         **work,
     )
 
--- a/flamingolug/gateway/tests/test_announcer.py
+++ b/flamingolug/gateway/tests/test_announcer.py
@@ -6,10 +6,14 @@
 
 import types
 import unittest
+from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
 from typing import cast
 
+import gevent
+from gevent import lock
+
 from flamingolug import errors
 from flamingolug import store
 from flamingolug.gateway import _announcer
@@ -26,11 +30,23 @@
         self.revision = revision
         self.calls: list[str] = []
         self.lose_answers = 0
+        #: Called before each write.
+        self.before_write: Callable[[], object] = lambda: None
+        #: Times to live of the leases granted, seconds.
+        self.granted_s: list[float] = []
+        #: Leases of the writes.
+        self.write_leases: list[int] = []
+        #: Leases that were ended.
+        self.ended_leases: list[int] = []
 
     def grant_lease(self, ttl_s: float) -> int:
         """Returns a lease."""
-        del ttl_s
-        return 1
+        self.granted_s.append(ttl_s)
+        return len(self.granted_s)
+
+    def end_lease(self, lease: int) -> None:
+        """Ends a lease."""
+        self.ended_leases.append(lease)
 
     def read(self, key: str) -> store.Page:
         """Returns the item with its revision."""
@@ -47,8 +63,10 @@
         deletes: Sequence[str] = (),
     ) -> int:
         """Writes if the expected revision is the one stored."""
-        del key, value, lease, deletes
+        del key, value, deletes
         self.calls.append("write")
+        self.before_write()
+        self.write_leases.append(lease)
         if expected_revision != self.revision:
             raise errors.StoreConflictError("conflict", step="t", peer="t")
         self.revision += 7
@@ -58,29 +76,44 @@
         return self.revision
 
 
-class AnnouncementTest(unittest.TestCase):
-    def announce(self, kv: _Store, known_revision: int) -> list[str]:
-        """Announces an upstream; returns the reads and writes made."""
+class _AnnouncerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.report = _model.Report(
+            "u1", "s", 10, _model.UpstreamState.READY, 0.0, 1, 1
+        )
+
+    def start_announcer(
+        self, kv: _Store, known_revision: int = 0
+    ) -> _announcer.Announcer:
+        """Returns an announcer of the report of this test."""
         timers: Any = types.SimpleNamespace(now=lambda: 100.0)
         cfg: Any = types.SimpleNamespace(
             identity=types.SimpleNamespace(zone="z0"),
             link=("h1", 1),
             min_lease_s=1.0,
         )
-        report = _model.Report(
-            "u1", "s", 10, _model.UpstreamState.READY, 0.0, 1, 1
-        )
         announcer = _announcer.Announcer(
             _announcer.Dependencies(
                 cfg,
                 cast(store.LeasedStore, kv),
                 timers,
-                lambda: report,
+                lambda: self.report,
                 lambda key: known_revision if key == _KEY else 0,
             )
         )
         announcer.start()
         self.addCleanup(announcer.stop)
+        return announcer
+
+    def leave(self, state: _model.UpstreamState) -> None:
+        """Sets the state of the report."""
+        self.report = self.report._replace(state=state)
+
+
+class AnnouncementTest(_AnnouncerTest):
+    def announce(self, kv: _Store, known_revision: int) -> list[str]:
+        """Announces an upstream; returns the reads and writes made."""
+        announcer = self.start_announcer(kv, known_revision)
         self.assertTrue(announcer.publish(2.0))
         return kv.calls
 
@@ -105,6 +138,62 @@
         self.assertEqual(self.announce(kv, 0), ["write", "read", "write"])
 
 
+class DepartureTest(_AnnouncerTest):
+    """Pattern: write-ahead. A departure is acknowledged once it is stored."""
+
+    # Guards against a departure that is acknowledged because the write of an
+    # earlier state, in progress when it arrives, has succeeded.
+    def test_write_of_an_earlier_state_does_not_count_for_a_departure(
+        self,
+    ) -> None:
+        kv = _Store(0)
+        allowed = lock.Semaphore(0)
+        kv.before_write = allowed.acquire
+        announcer = self.start_announcer(kv)
+        announcer.publish()
+        gevent.sleep(0.01)
+        self.leave(_model.UpstreamState.DRAINING)
+        # The write of the ready state succeeds, the next one hangs.
+        gevent.spawn_later(0.02, allowed.release)
+        self.assertFalse(announcer.publish(0.1))
+        self.assertEqual(kv.calls, ["write", "write"])
+        allowed.release()
+        self.assertTrue(announcer.publish(0.1))
+
+    # Guards against a departure that a stopping node does not write.
+    def test_departure_is_written_after_the_entry_was_withdrawn(self) -> None:
+        kv = _Store(0)
+        announcer = self.start_announcer(kv)
+        announcer.publish(0.1)
+        announcer.withdraw()
+        gevent.sleep(0.01)
+        self.assertEqual(kv.ended_leases, [1])
+        self.leave(_model.UpstreamState.GONE)
+        self.assertTrue(announcer.has_unwritten_departure)
+        self.assertTrue(announcer.publish(0.1))
+        self.assertTrue(announcer.has_departure("u1"))
+        self.assertFalse(announcer.has_departure("u2"))
+
+    # Guards against a record that is removed with the lease of the node.
+    def test_departure_has_a_lease_of_its_own(self) -> None:
+        for state in (
+            _model.UpstreamState.DRAINING,
+            _model.UpstreamState.GONE,
+        ):
+            with self.subTest(state):
+                self.setUp()
+                kv = _Store(0)
+                announcer = self.start_announcer(kv)
+                announcer.publish(0.1)
+                self.leave(state)
+                announcer.publish(0.1)
+                announcer.withdraw()
+                gevent.sleep(0.01)
+                self.assertEqual(kv.granted_s[-1], _announcer.DEPARTURE_TTL_S)
+                self.assertEqual(kv.write_leases, [1, 2])
+                self.assertNotIn(2, kv.ended_leases)
+
+
 class BatchTest(unittest.TestCase):
     """One answered watch returns the changes of many nodes."""
 
--- /dev/null
+++ b/flamingolug/platform/tests/test_departures.py
@@ -0,0 +1,120 @@
+"""Departures of upstreams that a node acknowledges, across its restart."""
+
+import time
+import unittest
+
+import gevent
+
+from flamingolug.platform.tests import deployment
+from flamingolug.platform.tests import processes
+from flamingolug_standins import documents
+
+_ROUTES = [documents.make_route("read", "front")]
+#: Seconds from SIGTERM on for which a node process accepts connections, longer
+#: than it takes to answer a notice that can't be written.
+_ACCEPT_S = 1.0
+
+
+class DepartureTest(unittest.TestCase):
+    """A report that is late arrives at the next process of the node."""
+
+    def setUp(self) -> None:
+        self.deployment = deployment.Deployment(("shelf",), _ROUTES)
+        self.addCleanup(self.deployment.stop)
+        self.front = processes.NodeProcess("front", self.deployment, _ACCEPT_S)
+        self.addCleanup(self.front.close)
+
+    def make_late_report(self) -> bytes:
+        """Returns the body of a ready report that is sent but not delivered."""
+        server = self.front.server
+        server.sequence += 1
+        return server.make_report("ready")
+
+    def restart(self) -> None:
+        self.front.wait()
+        self.front.start()
+
+    def assert_late_report_has_no_effect(self, report: bytes) -> None:
+        self.front.server.post("heartbeat", report)
+        # The entry would be in the store, and calls would be accepted.
+        gevent.sleep(0.5)
+        executed = len(self.front.server.executed_ids)
+        deadline_ms = 500
+        for number in range(3):
+            processes.ask_once(
+                self.front.outbound, b"/read/x", f"late{number}", deadline_ms
+            )
+        self.assertEqual(self.front.server.executed_ids[executed:], [])
+
+    # Guards against a leave notice that a stopping node acknowledges and does
+    # not write to the store.
+    def test_leave_acknowledged_by_a_stopping_node_outlasts_its_restart(
+        self,
+    ) -> None:
+        report = self.make_late_report()
+        self.front.stop()
+        gevent.sleep(0.1)
+        self.assertEqual(self.front.server.deregister(), 200)
+        self.restart()
+        self.assert_late_report_has_no_effect(report)
+
+    # Guards against a drain that a stopping node acknowledges and does not
+    # write to the store.
+    def test_drain_acknowledged_by_a_stopping_node_outlasts_its_restart(
+        self,
+    ) -> None:
+        report = self.make_late_report()
+        self.front.stop()
+        gevent.sleep(0.1)
+        self.assertEqual(self.front.server.report("draining"), 200)
+        self.restart()
+        self.assert_late_report_has_no_effect(report)
+
+    # Guards against a stop that removes the record of an earlier drain.
+    def test_drain_before_the_stop_outlasts_the_restart(self) -> None:
+        report = self.make_late_report()
+        self.assertEqual(self.front.server.report("draining"), 200)
+        self.front.stop()
+        self.restart()
+        self.assert_late_report_has_no_effect(report)
+
+    # Guards against a leave notice without an earlier report at the process,
+    # which is acknowledged and not written.
+    def test_leave_without_a_report_outlasts_a_kill(self) -> None:
+        report = self.make_late_report()
+        self.front.stop()
+        self.restart()
+        self.assertEqual(self.front.server.deregister(), 200)
+        self.front.process.kill()
+        self.restart()
+        self.assert_late_report_has_no_effect(report)
+
+    # Guards against an acknowledgement that the next process can't know of.
+    def test_stopping_node_does_not_acknowledge_what_it_can_not_write(
+        self,
+    ) -> None:
+        self.deployment.store.down = True
+        self.front.stop()
+        gevent.sleep(0.1)
+        for _ in range(2):
+            self.assertEqual(self.front.server.deregister(), 503)
+        self.deployment.store.down = False
+        deployment.wait_until(
+            lambda: self.front.server.deregister() == 200,
+            "the leave is acknowledged once the store answers",
+        )
+        self.front.wait()
+
+    # Guards against a stop that ends before an acknowledged departure is in
+    # the store.
+    def test_stop_waits_for_a_departure_that_is_not_yet_written(self) -> None:
+        report = self.make_late_report()
+        self.deployment.store.down = True
+        self.assertEqual(self.front.server.deregister(), 200)
+        self.front.stop()
+        gevent.sleep(_ACCEPT_S + 0.5)
+        self.deployment.store.down = False
+        began_at = time.monotonic()
+        self.restart()
+        self.assertLess(time.monotonic() - began_at, processes.GRACE_S)
+        self.assert_late_report_has_no_effect(report)
--- a/flamingolug_standins/sealing_server.py
+++ b/flamingolug_standins/sealing_server.py
@@ -112,18 +112,22 @@
         """
         self.sequence += 1
         self.state = state or self.state
+        return self.post("heartbeat", self.make_report(self.state))
+
+    def make_report(self, state: str) -> bytes:
+        """Returns the body of a report with the latest sequence number."""
         body = {
             "Service": self.service,
             "Address": f"{self._server.server_host}:{self._server.server_port}",
             "Zone": "z1",
             "Version": "v1",
             "Slots": self.slots,
-            "State": self.state,
+            "State": state,
             "ColdRemainingMs": 0,
             "Sequence": self.sequence,
             "born": self.start_time_ms,
         }
-        return self.post("heartbeat", msgspec.json.encode(body))
+        return msgspec.json.encode(body)
 
     def deregister(self) -> int:
         """Deregisters from the node; returns the HTTP status."""
