Bound the time for which a lost response to a watch goes unnoticed

Cause: the response to the watch of the configuration was lost, and its connection returned nothing further. The node waited for up to 30 s in all, since nothing tells a lost response from one that is not due yet. In the log of the case, lease renewals fail and succeed again on new connections (`store.lost task=announcement`, `store.regained`); there is no `store.lost task=configuration` and no second `configuration.in_force`. Ruled out: a version that the node rejected (nothing is logged as unreadable), and a watch from a wrong revision (a new connection finds the version at once).

Change: the wait follows from the settings, so that wait, time-out and first retry end within the time after a disturbance from which on the bounds hold for the node again. A call that times out ends the watches that wait. Behind a failure a watch does not wait: an attempt that began before the end of a silence would delay the next one. The watch of the entries waits for 8 s in place of 28 s; peers and gates correct it. The demo product's watch of the manifest waits for 2 s in place of 30 s.

Paths read: both watches of the gateway, the client of the platform's store and of the key-value service, ManifestWatcher, probes of links, gossip, waits of readiness; the rest have time-outs below 3 s.

--- a/flamingolug/configuration/_active_manifest.py
+++ b/flamingolug/configuration/_active_manifest.py
@@ -26,8 +26,9 @@
 _LOGGER = logging.getLogger(__name__)
 #: Number of nodes in each availability zone that watch the store.
 WATCHERS_PER_ZONE = 2
-#: Seconds after which a watch returns when the manifest has not changed.
-WATCH_WAIT_S = 30.0
+#: Seconds after which a watch returns when the manifest has not changed. If the
+#: response to a watch is lost, the node notices at the end of this time.
+WATCH_WAIT_S = 2.0
 #: Seconds before the next watch after one has failed.
 WATCH_RETRY_INTERVAL_S = 1.0
 #: Seconds between checks of whether this node has to watch the store, while
--- a/flamingolug/configuration/tests/test_active_manifest.py
+++ b/flamingolug/configuration/tests/test_active_manifest.py
@@ -8,6 +8,8 @@
 from flamingolug import errors
 from flamingolug import manifest
 from flamingolug import timing
+from flamingolug.configuration import _active_manifest
+from flamingolug.store import _http
 from flamingolug.tests import doubles
 
 _TEXT = """\
@@ -80,3 +82,17 @@
         with self.assertRaises(errors.ConfigurationError):
             self.watcher.activate_if_newer(_stored(3, "three")[:-3], "peer")
         self.assertEqual(self._revision(), 2)
+
+
+class WatchTest(unittest.TestCase):
+    # Guards against a watch that goes on waiting for a response that was lost.
+    def test_lost_response_delays_a_manifest_by_less_than_its_target(
+        self,
+    ) -> None:
+        in_force_within_s = 6.0
+        self.assertLess(
+            _active_manifest.WATCH_WAIT_S
+            + _http.WATCH_SLACK_S
+            + _active_manifest.WATCH_RETRY_INTERVAL_S,
+            in_force_within_s,
+        )
--- a/flamingolug/gateway/_configuration_watcher.py
+++ b/flamingolug/gateway/_configuration_watcher.py
@@ -14,9 +14,23 @@
 from flamingolug.gateway import _routes
 
 _LOGGER = logging.getLogger(__name__)
-#: Seconds for which a watch waits for a change; slightly below the maximum of
-#: the store.
-WATCH_TIMEOUT_S = 28.0
+#: Seconds from the end of a watch's wait to the next attempt if the response is
+#: lost: the time-out of the call, and the wait after a first failure.
+_RETRY_S = 1.6
+#: Shortest wait of a watch, seconds.
+_MIN_WAIT_S = 0.5
+
+
+def watch_wait_s(detection_s: float) -> float:
+    """Returns the seconds for which a watch waits for a change.
+
+    Until the wait ends, a watch whose response was lost can't be told from one
+    that nothing has answered yet.
+
+    Args:
+        detection_s: seconds after which a lost response must have been noticed.
+    """
+    return max(detection_s - _RETRY_S, _MIN_WAIT_S)
 
 
 class ActiveConfiguration(NamedTuple):
@@ -29,6 +43,7 @@
 class Dependencies(NamedTuple):
     """Dependencies of the watcher."""
 
+    cfg: _model.GatewaySettings
     store: store.LeasedStore
     #: Key under which operators store the configuration.
     key: str
@@ -88,14 +103,15 @@
     def _watch(self) -> None:
         after = -1
         backoff = _backoff.Backoff("configuration")
+        longest_wait_s = watch_wait_s(self._deps.cfg.detection_s)
         while True:
             try:
                 if after < 0:
                     page = self._deps.store.read(self._deps.key)
                 else:
-                    page = self._deps.store.watch(
-                        self._deps.key, after, WATCH_TIMEOUT_S
-                    )
+                    # After a failure, the first answer must not take long.
+                    wait_s = longest_wait_s if self.following else 0.0
+                    page = self._deps.store.watch(self._deps.key, after, wait_s)
             except errors.HistoryLostError:
                 after = -1
                 continue
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -24,9 +24,9 @@
 _LOGGER = logging.getLogger(__name__)
 #: Prefix of the keys of upstreams.
 PREFIX = "fl/upstreams/"
-#: Seconds for which a watch waits for a change; slightly less than the longest
-#: wait that the store permits.
-WATCH_TIMEOUT_S = 28.0
+#: Seconds for which a watch waits for a change. A lost response is noticed at
+#: its end, as late as the entry of a failed node disappears.
+WATCH_WAIT_S = 8.0
 #: Seconds for which an upstream is still used after its entry has disappeared,
 #: so that an entry whose lease ended during an outage of the store can be
 #: written again.
@@ -390,7 +390,9 @@
             try:
                 if after < 0:
                     after = self._list()
-                page = self._deps.store.watch(PREFIX, after, WATCH_TIMEOUT_S)
+                # After a failure, the first answer must not take long.
+                wait_s = 0.0 if self._store_failing else WATCH_WAIT_S
+                page = self._deps.store.watch(PREFIX, after, wait_s)
             except errors.HistoryLostError:
                 after = -1
                 continue
--- a/flamingolug/gateway/_model.py
+++ b/flamingolug/gateway/_model.py
@@ -239,5 +239,8 @@
     #: Time from SIGTERM to SIGKILL.
     grace_s: float
     retries: RetryBounds
+    #: Seconds within which a node must notice that a response of the store was
+    #: lost, so that it follows the configuration again.
+    detection_s: float = 3.0
     #: Memory above which the platform ends the process.
     memory_bytes: int = 300_000_000
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -75,6 +75,7 @@
     environment = _environment_of(parts)
     return _configuration_watcher.ConfigurationWatcher(
         _configuration_watcher.Dependencies(
+            _settings(parts),
             _store(parts),
             environment.configuration_key,
             environment.decode_configuration,
--- a/flamingolug/platform/_settings.py
+++ b/flamingolug/platform/_settings.py
@@ -23,6 +23,9 @@
 
 
 class _Bounds(msgspec.Struct):
+    #: Milliseconds after a disturbance of the store, or of the node's path to
+    #: it, from which on the bounds in time hold for the node again.
+    in_touch_ms: float = msgspec.field(name="TouchMs", default=3000.0)
     #: Seconds from SIGTERM to SIGKILL.
     grace_s: float = msgspec.field(name="GracePeriodS", default=6.0)
     retry_ratio: float = msgspec.field(name="RetryBudgetRatio", default=0.2)
@@ -102,6 +105,7 @@
             parsed.bounds.retry_slack,
             parsed.bounds.retry_window_s,
         ),
+        detection_s=parsed.bounds.in_touch_ms / 1000.0,
         memory_bytes=int(parsed.limits.memory_mb * 1_000_000),
     )
 
--- a/flamingolug/platform/_store.py
+++ b/flamingolug/platform/_store.py
@@ -20,7 +20,7 @@
 #: call takes 0.3 s, a quarter of the time-out.
 CALL_TIMEOUT_S = 1.2
 #: Seconds by which the time-out of a watch exceeds its requested wait.
-WATCH_MARGIN_S = 2.0
+WATCH_MARGIN_S = CALL_TIMEOUT_S
 #: Maximum number of idle connections kept for reuse.
 MAX_IDLE = 2
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -28,7 +28,12 @@
 
 
 class PlatformStore:
-    """HTTP client of the store; `LeasedStore` documents the methods."""
+    """HTTP client of the store; `LeasedStore` documents the methods.
+
+    If a call is not answered, responses on other connections may have been lost
+    too, and a connection on which a response was lost returns nothing further.
+    Watches that wait are therefore ended; they fail as unanswered.
+    """
 
     def __init__(
         self, address: tuple[str, int], count: Callable[[str], None]
@@ -43,6 +48,8 @@
         self._host = f"{address[0]}:{address[1]}".encode()
         self._count = count
         self._idle: list[http1.Connection] = []
+        #: Connections of the watches in progress.
+        self._watching: set[http1.Connection] = set()
 
     def read(self, key: str) -> store.Page:
         """See `LeasedStore.read`."""
@@ -155,11 +162,15 @@
         try:
             with gevent.Timeout(timeout_s):
                 conn = self._acquire()
+                if operation == "watch":
+                    self._watching.add(conn)
                 conn.send(data)
                 response = conn.receive(False, _MAX_RESPONSE_BYTES)
         except (errors.BackendError, gevent.Timeout) as exc:
             if conn is not None:
                 conn.close()
+            if isinstance(exc, gevent.Timeout):
+                self._end_watches()
             raise errors.StoreUnavailableError(
                 f"no valid response: {exc}", step=step, peer=peer
             ) from exc
@@ -167,12 +178,21 @@
             if conn is not None:
                 conn.close()
             raise
+        finally:
+            if conn is not None:
+                self._watching.discard(conn)
         if response.reusable and len(self._idle) < MAX_IDLE:
             self._idle.append(conn)
         else:
             conn.close()
         return _decode(response, operation, step, peer)
 
+    def _end_watches(self) -> None:
+        """Closes the connections of the watches in progress."""
+        watching, self._watching = self._watching, set()
+        for conn in watching:
+            conn.close()
+
     def _acquire(self) -> http1.Connection:
         while self._idle:
             conn = self._idle.pop()
--- /dev/null
+++ b/flamingolug/platform/tests/test_lost_responses.py
@@ -0,0 +1,156 @@
+"""Changes that a node learns of although a response of the store was lost."""
+
+import itertools
+import time
+import unittest
+from unittest import mock
+
+import gevent
+
+from flamingolug import errors
+from flamingolug.gateway import _announcer
+from flamingolug.gateway import _directory
+from flamingolug.gateway import _model
+from flamingolug.platform import _store
+from flamingolug.platform.tests import deployment
+from flamingolug.platform.tests import processes
+from flamingolug_standins import documents
+from flamingolug_standins import leased_store
+
+#: Seconds after a disturbance of the store from which on a node has to act by
+#: the configuration that is in the store (`TouchMs` of the settings, which the
+#: node processes of these tests leave at its default).
+_TOUCH_S = 3.0
+
+
+class ConfigurationTest(unittest.TestCase):
+    """The watch of a node process, and a store that loses its responses."""
+
+    def setUp(self) -> None:
+        self.deployment = deployment.Deployment(
+            ("shelf",), [documents.make_route("read", "front")]
+        )
+        self.addCleanup(self.deployment.stop)
+        self.front = processes.NodeProcess("front", self.deployment)
+        self.addCleanup(self.front.close)
+        self.numbers = itertools.count()
+
+    def put(self, version: int, route: str) -> None:
+        self.deployment.store.put(
+            "op/config",
+            documents.make_document(
+                version, [documents.make_route(route, "front")]
+            ),
+        )
+
+    def serves(self, route: str) -> bool:
+        # A server that has not reported for a while gets no calls.
+        self.front.server.report()
+        request_id = f"{route}-{next(self.numbers)}"
+        target = f"/{route}/x".encode()
+        status = processes.ask_once(self.front.outbound, target, request_id)
+        return status == 200
+
+    def assert_served_within(self, route: str, limit_s: float) -> None:
+        began_at = time.monotonic()
+        deployment.wait_until(lambda: self.serves(route), f"{route} is served")
+        self.assertLess(time.monotonic() - began_at, limit_s)
+
+    # Guards against a watch that waits on a connection that returns nothing.
+    def test_version_is_applied_after_the_response_to_the_watch_was_lost(
+        self,
+    ) -> None:
+        kv = self.deployment.store
+        kv.lose_watches = True
+        self.put(4, "fresh")
+        # Both nodes watch the configuration.
+        deployment.wait_until(lambda: kv.lost_responses == 2, "responses lost")
+        kv.lose_watches = False
+        self.assert_served_within("fresh", _TOUCH_S)
+
+    # Guards against attempts that begin before the end of a silence, and wait
+    # longer than the node has to catch up.
+    def test_version_is_applied_after_the_store_was_silent(self) -> None:
+        for silent_s in (0.6, 1.9):
+            with self.subTest(silent_s=silent_s):
+                version = 10 + int(silent_s * 10)
+                self.deployment.store.silent = True
+                self.put(version, f"within{version}")
+                gevent.sleep(silent_s)
+                self.deployment.store.silent = False
+                self.put(version + 1, f"after{version}")
+                self.assert_served_within(f"after{version}", _TOUCH_S)
+
+
+class DirectoryTest(unittest.TestCase):
+    """The watch of the entries; a node without links has no peer to ask."""
+
+    # Guards against a watch of the entries that receives nothing for 30 s.
+    def test_entry_is_found_after_the_response_to_the_watch_was_lost(
+        self,
+    ) -> None:
+        wait_s = 0.5
+        self.enterContext(mock.patch.object(_directory, "WATCH_WAIT_S", wait_s))
+        routes = [documents.make_route("read", "shelf")]
+        test_deployment = deployment.Deployment(("shelf",), routes)
+        self.addCleanup(test_deployment.stop)
+        kv = test_deployment.store
+        entry = _model.Upstream(
+            "i-1",
+            "front",
+            "z1",
+            "127.0.0.9",
+            9,
+            1,
+            _model.UpstreamState.READY,
+            1,
+            1,
+        )
+        gevent.sleep(0.5)
+        kv.lose_watches = True
+        kv.put(_directory.PREFIX + entry.id, _directory.encode_entry(entry))
+        deployment.wait_until(lambda: kv.lost_responses > 0, "response lost")
+        kv.lose_watches = False
+        began_at = time.monotonic()
+        test_deployment.instances[0].wait_for_upstreams(("front",))
+        limit_s = wait_s + _store.CALL_TIMEOUT_S + 1.0
+        self.assertLess(time.monotonic() - began_at, limit_s)
+
+    def test_lost_response_is_noticed_within_the_time_to_live_of_an_entry(
+        self,
+    ) -> None:
+        self.assertLessEqual(_directory.WATCH_WAIT_S, _announcer.LEASE_TTL_S)
+
+
+class ClientTest(unittest.TestCase):
+    def setUp(self) -> None:
+        host = f"127.0.0.{next(deployment._HOSTS) + 10}"
+        self.store = leased_store.LeasedStore(host, deployment._BASE_PORT + 26)
+        self.addCleanup(self.store.stop)
+        self.client = _store.PlatformStore(
+            self.store.address, lambda name: None
+        )
+
+    # Guards against a watch that goes on waiting after a silence that other
+    # calls have met.
+    def test_unanswered_call_ends_the_watches_that_wait(self) -> None:
+        watches = [
+            gevent.spawn(self.client.watch, _directory.PREFIX, 0, 20.0)
+            for _ in range(2)
+        ]
+        gevent.sleep(0.1)
+        self.store.silent = True
+        with self.assertRaises(errors.StoreUnavailableError):
+            self.client.grant_lease(8.0)
+        self.store.silent = False
+        gevent.joinall(watches, timeout=1.0)
+        for watch in watches:
+            self.assertIsInstance(watch.exception, errors.StoreUnavailableError)
+
+    def test_refused_call_leaves_the_watches_that_wait(self) -> None:
+        watch = gevent.spawn(self.client.watch, _directory.PREFIX, 0, 1.0)
+        gevent.sleep(0.1)
+        self.store.down = True
+        with self.assertRaises(errors.StoreUnavailableError):
+            self.client.grant_lease(8.0)
+        self.assertFalse(watch.ready())
--- a/flamingolug_standins/leased_store.py
+++ b/flamingolug_standins/leased_store.py
@@ -8,6 +8,7 @@
 import time
 from collections import deque
 from typing import Any
+from typing import NoReturn
 from urllib import parse
 
 import gevent
@@ -18,6 +19,7 @@
 from flamingolug import http1
 
 _JSON_HEADERS = [(b"content-type", b"application/json")]
+_WATCH_PATH = "/v1/kv-watch"
 _Response = tuple[int, http1.Headers, bytes]
 
 
@@ -26,9 +28,12 @@
 
     Attributes:
         down: requests are answered with 503.
-        silent: requests are not answered while it is set.
+        silent: responses are lost while it is set; requests have no effect.
+        lose_watches: responses to watches are lost while it is set.
         lose_answers: POST requests take effect and are not answered while it
             is set.
+        lost_responses: number of responses that were lost. Nothing further is
+            returned on their connections.
         delay_s: seconds added to the response time of each request.
         calls: number of requests by path.
     """
@@ -43,6 +48,8 @@
         """
         self.down = False
         self.silent = False
+        self.lose_watches = False
+        self.lost_responses = 0
         self.lose_answers = False
         self.delay_s = 0.0
         self.calls: dict[str, int] = {}
@@ -108,8 +115,8 @@
     def _handle(self, req: http1.Request) -> _Response:
         path, _, query = req.target.decode().partition("?")
         self.calls[path] = self.calls.get(path, 0) + 1
-        while self.silent:
-            gevent.sleep(0.05)
+        if self.silent:
+            self._lose_response()
         if self.delay_s:
             gevent.sleep(self.delay_s)
         if self.down:
@@ -119,14 +126,22 @@
         response = self._route(req.method.decode(), path, args, body)
         while self.lose_answers and req.method == b"POST":
             gevent.sleep(0.05)
+        if self.silent or (self.lose_watches and path == _WATCH_PATH):
+            self._lose_response()
         return response
 
+    def _lose_response(self) -> NoReturn:
+        """Never returns, so that the connection returns nothing further."""
+        self.lost_responses += 1
+        while True:
+            gevent.sleep(3600.0)
+
     def _route(
         self, method: str, path: str, args: dict[str, str], body: Any
     ) -> _Response:
         if path == "/v1/kv-range":
             return self._range(args)
-        if path == "/v1/kv-watch":
+        if path == _WATCH_PATH:
             return self._watch(args)
         if path == "/v1/kv-txn":
             return self._txn(body)
