Half-close idle connections, whose callers may still read

Cause: a connection was idle once its answer was in the socket's buffer, and `close_idle` closed it in both directions. The next input resets such a connection, and what the caller's host has not received is lost. In the log of the case, each connection has `caller.undelivered reason=unsent by=stopping unsent=15630 lingering=False` at the close, and its caller a reset when its further request arrives. Ruled out: an answer that was not written (pending=0 at SIGTERM), and a loss of bytes that the caller's host has received (two plain sockets: 36000 of 36000 bytes are read after a reset on this system).

Change: the stop and the idle time-out half-close idle connections; their callers close them in turn. A stop lasts until callers have received everything, as it did for answers that close their connection.

IdleTest asserted that unsent output is no work. That was the fault; the connection may still be half-closed, and now counts as work.

--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -131,12 +131,12 @@
     def has_work(self) -> bool:
         """Whether a request or a response is in progress.
 
-        That includes a request of which not all has been read, and a last
-        response of which the caller's host has not received everything.
+        That includes a request of which not all has been read, and a response
+        of which the caller's host has not received everything.
         """
-        if self.lingering:
-            return self._stream.queued().unsent_bytes > 0
-        return not self.is_idle()
+        if not (self.lingering or self.is_idle()):
+            return True
+        return self._stream.queued().unsent_bytes > 0
 
     @property
     def pending(self) -> int:
@@ -169,9 +169,10 @@
             self._reader.discard()
 
     def is_idle(self) -> bool:
-        """Returns whether no request or response is in progress.
+        """Returns whether no request is in progress and no response is written.
 
-        Unread input is a request in progress; a close would reset it.
+        Unread input is a request in progress; a close would reset it. The
+        caller may still be reading the last response.
         """
         if self.busy or self.partial or self.lingering:
             return False
@@ -196,8 +197,17 @@
         self._draining = True
         self._close_after_pending()
 
+    def finish(self) -> None:
+        """Half-closes an idle connection.
+
+        A caller that has read everything closes it in turn. Further requests
+        are not served.
+        """
+        self.closing = True
+        self._linger()
+
     def close(self, reason: str) -> None:
-        """Closes the connection."""
+        """Closes the connection at once; the caller may lose what is unsent."""
         if not self._closed:
             self.report_end(reason, "")
             self._closed = True
@@ -570,11 +580,11 @@
         for connection in list(self._connections):
             connection.interrupt()
 
-    def close_idle(self) -> None:
-        """Closes connections with no request or response in progress."""
+    def finish_idle(self) -> None:
+        """Half-closes connections with no request in progress."""
         for connection in list(self._connections):
             if connection.is_idle():
-                connection.close("stopping")
+                connection.finish()
 
     def _sweep(self) -> None:
         now = self._deps.timers.now()
@@ -595,4 +605,4 @@
                 connection.refuse_partial_request()
                 continue
             if inactive_s > idle_timeout_s and connection.is_idle():
-                connection.close("idle")
+                connection.finish()
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -232,7 +232,7 @@
             refused_after = f"{timers.now() - started_at:.3f}"
             # The entry may not know the connection accepted last yet.
             continue
-        entry.close_idle()
+        entry.finish_idle()
         if announcer.has_unwritten_departure or control_server.busy:
             continue
         if not (entry.has_work or peer_server.has_output):
@@ -266,7 +266,7 @@
     peer_server = parts.get("gateway.peer-server", _peer_server.PeerServer)
     deadline = timers.now() + CLOSE_TIMEOUT_S
     while timers.now() < deadline:
-        entry.close_idle()
+        entry.finish_idle()
         peer_server.finish()
         if not (entry.has_connections or peer_server.has_connections):
             return
--- a/flamingolug/gateway/tests/test_entry.py
+++ b/flamingolug/gateway/tests/test_entry.py
@@ -23,6 +23,7 @@
 
     def __init__(self) -> None:
         self.closed = False
+        self.half_closed = False
         self.input: queue.Queue[bytes | Exception] = queue.Queue()
         self.output: list[bytes] = []
         self.send_error: Exception | None = None
@@ -49,7 +50,7 @@
         return self.queues
 
     def shutdown_write(self) -> None:
-        pass
+        self.half_closed = True
 
     def close(self) -> None:
         if not self.closed:
@@ -373,11 +374,12 @@
     # Guards against a reset of a request that has arrived but was not read.
     def test_connection_with_unread_input_is_not_idle(self) -> None:
         cases = {
-            "idle": (http1.Queued(0, 0), True),
-            "unread input": (http1.Queued(70, 0), False),
-            "unsent output": (http1.Queued(0, 5), True),
+            "idle": (http1.Queued(0, 0), True, False),
+            "unread input": (http1.Queued(70, 0), False, True),
+            # May be half-closed, but the node must not end.
+            "unsent output": (http1.Queued(0, 5), True, True),
         }
-        for name, (queues, idle) in cases.items():
+        for name, (queues, idle, has_work) in cases.items():
             with self.subTest(name):
                 caller = _Caller()
                 caller.send("r1")
@@ -385,7 +387,21 @@
                 caller.answer(b"r1")
                 caller.stream.queues = queues
                 self.assertEqual(caller.connection.is_idle(), idle)
-                self.assertEqual(caller.connection.has_work, not idle)
+                self.assertEqual(caller.connection.has_work, has_work)
+
+    # Guards against a close that discards an answer its caller still reads.
+    def test_idle_connection_is_half_closed(self) -> None:
+        caller = _Caller()
+        caller.send("r1")
+        caller.answer(b"r1")
+        caller.stream.queues = http1.Queued(0, 5)
+        caller.connection.finish()
+        self.assertFalse(caller.stream.closed)
+        self.assertTrue(caller.stream.half_closed)
+        self.assertTrue(caller.connection.has_work)
+        # A request that crosses the half-close is not served.
+        caller.send("r2")
+        self.assertEqual(list(caller.handler.answers), [b"r1"])
 
     # Guards against an exit that resets a last response still on its way.
     def test_last_response_is_work_until_it_is_acknowledged(self) -> None:
--- a/flamingolug/http1/_server.py
+++ b/flamingolug/http1/_server.py
@@ -1,8 +1,10 @@
 """Server side of HTTP/1.1 connections that carry few and small requests."""
 
+import contextlib
 import logging
 from collections.abc import Callable
 
+import gevent
 from gevent import socket as gevent_socket
 
 from flamingolug import telemetry
@@ -12,6 +14,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 _READ_BYTES = 16384
+#: Seconds after the last response in which the caller may close its side.
+LINGER_S = 2.0
 _LIMITS = _parse.MessageLimits(16384, 16 * 1024 * 1024)
 
 #: Handles a request; returns status, headers and body of the response.
@@ -39,11 +43,13 @@
                     _format.format_response(status, headers, body, close)
                 )
                 if close:
+                    _linger(stream)
                     return
             if reader.error_status:
                 stream.send_all(
                     _format.format_response(reader.error_status, [], b"", True)
                 )
+                _linger(stream)
                 return
     except OSError as exc:
         telemetry.event(
@@ -57,3 +63,15 @@
         reader.discard()
         if stream is not None:
             stream.close()
+
+
+def _linger(stream: _stream.Stream) -> None:
+    """Half-closes a connection and waits until the caller closes its side.
+
+    A close while there is unread input would reset the connection, and the
+    caller might lose the last response.
+    """
+    stream.shutdown_write()
+    with contextlib.suppress(gevent.Timeout), gevent.Timeout(LINGER_S):
+        while stream.recv(_READ_BYTES):
+            pass
--- a/flamingolug/platform/tests/test_lost.py
+++ b/flamingolug/platform/tests/test_lost.py
@@ -12,6 +12,7 @@
 from flamingolug import http1
 from flamingolug.gateway import _call_origins
 from flamingolug.gateway import _dynamic_table
+from flamingolug.gateway import _entry
 from flamingolug.gateway import _frames
 from flamingolug.gateway import _link
 from flamingolug.gateway import _model
@@ -572,3 +573,65 @@
         reader.join()
         self.assertEqual([each.status for each in caller.answers], [200])
         self.assertEqual(front.process.returncode, 0)
+
+
+class IdleAtStopTest(_LostTest):
+    """Answers that were written before SIGTERM, on connections kept open."""
+
+    def _read_after_stop(self, grace_s: float, pause_s: float) -> None:
+        """Stops a node whose callers read their answers slowly.
+
+        Each sends a further request before it has read everything.
+        """
+        front = processes.NodeProcess("front", self.deployment, grace_s=grace_s)
+        self.addCleanup(front.close)
+        self.shelf.server.rewrite_response = _enlarge(_BUFFERED_BYTES)
+        callers = [
+            self.connect(front.outbound, size)
+            for size in (_SMALL_BUFFER_BYTES, _MEDIUM_BUFFER_BYTES)
+        ]
+        for number, caller in enumerate(callers):
+            caller.send(f"k{number}")
+        deployment.wait_until(
+            lambda: {"k0", "k1"} <= set(self.shelf.server.executed_ids),
+            "requests run",
+        )
+        gevent.sleep(0.2)
+        front.stop()
+        gevent.sleep(processes.ACCEPT_S + 0.5)
+        for number, caller in enumerate(callers):
+            caller.send(f"l{number}")
+        gevent.sleep(pause_s)
+        for caller in callers:
+            caller.read_to_end(0.001)
+        took_s = front.wait()
+        for caller in callers:
+            self.assert_received(caller, _BUFFERED_BYTES)
+        self.assertLess(took_s, grace_s)
+        self.assertEqual(front.process.returncode, 0)
+        self.assertNotIn("l0", self.shelf.server.executed_ids)
+
+    # Guards against a stop that closes a connection whose answer its caller
+    # still reads.
+    def test_answer_of_an_idle_connection_is_read_to_its_end(self) -> None:
+        self._read_after_stop(processes.GRACE_S, 0.1)
+
+    # Guards against an exit before the caller has received everything.
+    def test_stop_waits_for_the_output_of_an_idle_connection(self) -> None:
+        self._read_after_stop(processes.GRACE_S, 0.8)
+
+    # Guards against an idle time-out that resets an answer.
+    def test_answer_is_read_to_its_end_after_the_idle_time_out(self) -> None:
+        limits = _entry.FIRST_LIMITS._replace(idle_timeout_s=0.5)
+        self.shelf.server.rewrite_response = _enlarge(_BUFFERED_BYTES)
+        caller = self.connect(self.shelf.settings.outbound, _SMALL_BUFFER_BYTES)
+        entry = self.shelf.node.parts.get("gateway.entry", _entry.Entry)
+        deployment.wait_until(lambda: entry.has_connections, "is connected")
+        for connection in entry._connections:
+            connection.limits = limits
+        caller.send("m0")
+        gevent.sleep(1.4)
+        caller.send("m1")
+        gevent.sleep(0.1)
+        caller.read_to_end(0.001)
+        self.assert_received(caller, _BUFFERED_BYTES)
