Decode foreign bytes into values that the node can use, or into nothing

A report with a start time of 100 bits ended the announcement of a node's upstream for good. A deadline of 400 digits got 502.

Cause: decoders checked form, not range, and raised errors outside their own class. A port of 70000 raises OverflowError where OSError is expected, so a link neither opened nor ended and calls waited for it; integers of more than 64 bits can't be encoded again, for a peer or for the store; deep nesting raises RecursionError; an unknown verdict raised ValueError in the reader of a link, which stayed in use.

Change: the types of an upstream and of a report state their ranges, a host is an IPv4 address, and an id fits a key of the store. Responses of the store are decoded by type. Decoders turn all of this into their own error or into None. A link ends with its reader. The tasks of watches and of the announcement start again after a defect and log `task.crashed`.

The fixtures of test_directory used names as hosts, which no node writes; they are addresses now.

--- a/flamingolug/gateway/_announcer.py
+++ b/flamingolug/gateway/_announcer.py
@@ -14,6 +14,7 @@
 from flamingolug.gateway import _backoff
 from flamingolug.gateway import _directory
 from flamingolug.gateway import _model
+from flamingolug.gateway import _tasks
 
 _LOGGER = logging.getLogger(__name__)
 #: Time to live of an entry after the last renewal, seconds. Peers detect the
@@ -124,7 +125,7 @@
 
     def start(self) -> None:
         """Starts to write the entry and renew its lease."""
-        self._task = gevent.spawn(self._run)
+        self._task = _tasks.spawn("announcement", self._run)
 
     def stop(self) -> None:
         """Stops writing entries and renewing leases, which then lapse."""
--- a/flamingolug/gateway/_configuration_watcher.py
+++ b/flamingolug/gateway/_configuration_watcher.py
@@ -12,6 +12,7 @@
 from flamingolug.gateway import _backoff
 from flamingolug.gateway import _model
 from flamingolug.gateway import _routes
+from flamingolug.gateway import _tasks
 
 _LOGGER = logging.getLogger(__name__)
 #: Seconds from the end of a watch's wait to the next attempt if the response is
@@ -93,7 +94,7 @@
 
     def start(self) -> None:
         """Starts watching the store."""
-        self._task = gevent.spawn(self._watch)
+        self._task = _tasks.spawn("configuration", self._watch)
 
     def stop(self) -> None:
         """Stops watching the store."""
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -3,6 +3,7 @@
 Each node keeps the entry of its own upstream in the store.
 """
 
+import ipaddress
 import logging
 import random
 from collections.abc import Callable
@@ -20,6 +21,7 @@
 from flamingolug import timing
 from flamingolug.gateway import _backoff
 from flamingolug.gateway import _model
+from flamingolug.gateway import _tasks
 
 _LOGGER = logging.getLogger(__name__)
 #: Prefix of the keys of upstreams.
@@ -59,10 +61,15 @@
 
 
 def decode_entry(key: str, value: bytes) -> _model.Upstream | None:
-    """Returns a stored upstream, None if the entry is not valid."""
+    """Returns a stored upstream, None if the entry is not valid.
+
+    Whatever another writer has stored, an upstream that is returned can be
+    called, and passed on to peers.
+    """
     try:
         upstream = msgspec.json.decode(value, type=_model.Upstream)
-    except msgspec.DecodeError as exc:
+        ipaddress.IPv4Address(upstream.host)
+    except (msgspec.DecodeError, RecursionError, ValueError) as exc:
         telemetry.event(
             _LOGGER,
             "directory.unreadable",
@@ -157,7 +164,7 @@
 
     def start(self) -> None:
         """Starts to list and watch the store."""
-        self._task = gevent.spawn(self._watch)
+        self._task = _tasks.spawn("directory", self._watch)
 
     def stop(self) -> None:
         """Stops watching the store."""
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -51,6 +51,8 @@
 #: Highest pressure that is accepted from a peer; deadlines bound a queue well
 #: below it.
 MAX_REPORTED_PRESSURE = 20.0
+#: What decoding a frame that no node has sent may raise.
+MALFORMED = (msgspec.DecodeError, RecursionError, ValueError)
 #: Seconds after a failed connection attempt before the next one to that peer.
 RECONNECT_AFTER_S = 0.5
 
@@ -199,12 +201,12 @@
                 return
             try:
                 frames = frame_decoder.feed(data)
-            except msgspec.DecodeError as exc:
+            except MALFORMED as exc:
                 self.log_unreadable(exc)
                 return
             yield frames
 
-    def log_unreadable(self, exc: msgspec.DecodeError) -> None:
+    def log_unreadable(self, exc: Exception) -> None:
         """Logs that the peer sent bytes that can't be decoded."""
         telemetry.event(
             _LOGGER,
@@ -463,9 +465,10 @@
                 self.inactive_since = self._deps.timers.now()
                 for frame in frames:
                     self._handle_frame(self._connection, frame)
-        except msgspec.DecodeError as exc:
+        except MALFORMED as exc:
             self._connection.log_unreadable(exc)
-        self.end("closed")
+        finally:
+            self.end("closed")
 
     def _handle_frame(
         self, connection: FrameConnection, frame: _frames.Frame
--- a/flamingolug/gateway/_model.py
+++ b/flamingolug/gateway/_model.py
@@ -1,10 +1,24 @@
 """Data types shared by the modules of the gateway."""
 
 import enum
+from typing import Annotated
 from typing import NamedTuple
 
+import msgspec
+
 from flamingolug import http1
 
+#: Identifier of an upstream, or name of a service or zone. With a prefix, an
+#: identifier fits a key of the store.
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+#: TCP port that a connection can be opened to.
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+#: Number of calls that a backend server can run at once.
+SlotCount = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+#: Sequence number or milliseconds since the Unix epoch, in the range that every
+#: encoding has.
+Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
 
 class Route(NamedTuple):
     """One route of the active configuration."""
@@ -75,21 +89,21 @@
 
     #: Identifier that the backend server reports; its node refuses calls that
     #: are addressed to another one.
-    id: str
-    service: str
-    zone: str
-    #: Host and port at which its node accepts links.
+    id: Name
+    service: Name
+    zone: Name
+    #: IPv4 address and port at which its node accepts links.
     host: str
-    port: int
+    port: Port
     #: Number of calls that the backend server declares it can run at once.
-    slots: int
+    slots: SlotCount
     state: UpstreamState
     #: Unix time of its start in milliseconds; distinguishes two incarnations
     #: with the same id.
-    start_time_ms: int
+    start_time_ms: Counter
     #: Sequence number of the report from which this announcement was made;
     #: increases within one incarnation.
-    sequence: int
+    sequence: Counter
 
 
 class Report(NamedTuple):
--- a/flamingolug/gateway/_peer_server.py
+++ b/flamingolug/gateway/_peer_server.py
@@ -73,7 +73,7 @@
             for frames in connection.read():
                 for frame in frames:
                     self._handle_frame(connection, tickets, frame)
-        except msgspec.DecodeError as exc:
+        except _link.MALFORMED as exc:
             connection.log_unreadable(exc)
         finally:
             del self._connections[connection]
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -34,6 +34,9 @@
 #: Maximum number of times that a request is offered to an upstream, whatever
 #: the outcomes; the route's `max_attempts` also limits the offers that arrive.
 MAX_OFFERS = 4
+#: Most digits of a stated deadline in milliseconds; one with more counts as
+#: none.
+MAX_DEADLINE_DIGITS = 12
 #: Seconds after the deadline for which an answer is still awaited: the upstream
 #: may answer right at its deadline, and the answer takes time to arrive.
 #: It is 0.02 s longer than `_gate.ANSWER_GRACE_S`.
@@ -166,7 +169,7 @@
         deadline_ms = state.request.header(header_names.deadline)
         allowed_s = (
             int(deadline_ms) / 1000.0
-            if deadline_ms.isdigit()
+            if deadline_ms.isdigit() and len(deadline_ms) <= MAX_DEADLINE_DIGITS
             else (DEFAULT_DEADLINE_S)
         )
         headers = [
--- a/flamingolug/gateway/tests/test_directory.py
+++ b/flamingolug/gateway/tests/test_directory.py
@@ -15,7 +15,7 @@
 
 
 def _item(name: str, revision: int, host: str = "") -> store.Item:
-    host = host or f"h-{name}"
+    host = host or f"10.0.0.{ord(name[0])}"
     upstream = _model.Upstream(
         name, "s", "z0", host, 1, 10, _model.UpstreamState.READY, 1, 1
     )
@@ -132,20 +132,20 @@
         self,
     ) -> None:
         for item in (
-            _item("a", 1, "first"),
-            _item("a", 2, "second"),
-            _item("b", 3, "first"),
-            _item("c", 4, "first"),
-            _item("d", 5, "second"),
+            _item("a", 1, "10.0.1.1"),
+            _item("a", 2, "10.0.1.2"),
+            _item("b", 3, "10.0.1.1"),
+            _item("c", 4, "10.0.1.1"),
+            _item("d", 5, "10.0.1.2"),
         ):
             self.directory.apply(item)
         self.assertEqual(self._names(), {"c", "d"})
 
     def test_moved_entry_counts_at_its_new_address(self) -> None:
         for item in (
-            _item("a", 1, "first"),
-            _item("a", 2, "second"),
-            _item("b", 3, "first"),
+            _item("a", 1, "10.0.1.1"),
+            _item("a", 2, "10.0.1.2"),
+            _item("b", 3, "10.0.1.1"),
         ):
             self.directory.apply(item)
         self.assertEqual(self._names(), {"a", "b"})
--- a/flamingolug/http1/_client.py
+++ b/flamingolug/http1/_client.py
@@ -1,5 +1,6 @@
 """Client side of HTTP/1.1 connections."""
 
+import errno
 import socket
 
 from gevent import socket as gevent_socket
@@ -205,6 +206,9 @@
         with gevent_timeout.Timeout(timeout_s, TimeoutError("timed out")):
             sock.connect((host, port))
         return _stream.Stream(sock, peer_may_pause)
+    except (OverflowError, ValueError) as exc:
+        sock.close()
+        raise OSError(errno.EINVAL, f"not an address: {exc}") from exc
     except OSError:
         sock.close()
         raise
--- a/flamingolug/platform/_configuration.py
+++ b/flamingolug/platform/_configuration.py
@@ -77,7 +77,7 @@
     """
     try:
         return _decode(document)
-    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as exc:
+    except (msgspec.DecodeError, RecursionError, ValueError) as exc:
         raise errors.ConfigurationError(
             f"cannot decode the stored configuration: {exc}", step=_STEP
         ) from exc
--- a/flamingolug/platform/_reports.py
+++ b/flamingolug/platform/_reports.py
@@ -1,27 +1,33 @@
 """Decodes messages of a backend server to the node beside it."""
 
 import re
+from typing import Annotated
 
 import msgspec
 
 from flamingolug import gateway
 from flamingolug import http1
 
-_REPORT_PATH = re.compile(rb"/v1/instances/([^/?]+)/heartbeat")
-_LEAVE_PATH = re.compile(rb"/v1/instances/([^/?]+)/deregister")
+#: Identifier of an upstream: printable characters that are not encoded.
+_ID = rb"([!-$&-.0->@-~]{1,128})"
+_REPORT_PATH = re.compile(rb"/v1/instances/" + _ID + rb"/heartbeat")
+_LEAVE_PATH = re.compile(rb"/v1/instances/" + _ID + rb"/deregister")
+_DAY_MS = 86_400_000.0
 
 
 class _Report(msgspec.Struct):
     service: str = msgspec.field(name="Service")
-    slots: int = msgspec.field(name="Slots")
+    slots: gateway.SlotCount = msgspec.field(name="Slots")
     state: str = msgspec.field(name="State")
     #: Number of the report; increases within one incarnation of the backend
     #: server.
-    sequence: int = msgspec.field(name="Sequence")
+    sequence: gateway.Counter = msgspec.field(name="Sequence")
     #: Remaining milliseconds of slow processing after the start.
-    warmup_ms: float = msgspec.field(name="ColdRemainingMs", default=0.0)
+    warmup_ms: Annotated[float, msgspec.Meta(ge=0.0, le=_DAY_MS)] = (
+        msgspec.field(name="ColdRemainingMs", default=0.0)
+    )
     #: Start of the incarnation, milliseconds since the Unix epoch.
-    born: int = 0
+    born: gateway.Counter = 0
 
 
 _DECODER = msgspec.json.Decoder(_Report)
@@ -40,9 +46,9 @@
     try:
         report = _DECODER.decode(req.body)
         state = gateway.UpstreamState(report.state)
-    except (msgspec.DecodeError, msgspec.ValidationError, ValueError):
+    except (msgspec.DecodeError, RecursionError, ValueError):
         return None
-    if report.service != service or report.slots < 1:
+    if report.service != service:
         return None
     # A backend server announces its end by `deregister`, not by a report.
     if state is gateway.UpstreamState.GONE:
--- a/flamingolug/platform/_store.py
+++ b/flamingolug/platform/_store.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
+from typing import TypeVar
 from urllib import parse
 
 import gevent
@@ -27,6 +28,46 @@
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
+class _Item(msgspec.Struct):
+    """An item as it was written, or the removal of a key."""
+
+    key: str = msgspec.field(name="Key")
+    revision: int = msgspec.field(name="Revision")
+    value: bytes = msgspec.field(name="Value", default=b"")
+    deleted: bool = msgspec.field(name="Deleted", default=False)
+
+    def to_item(self) -> store.Item:
+        """Returns the item in the form of the interface."""
+        value = None if self.deleted else self.value
+        return store.Item(self.key, value, self.revision)
+
+
+class _RangeResult(msgspec.Struct):
+    items: list[_Item]
+    as_of: int = msgspec.field(name="AsOf")
+    has_more: bool = msgspec.field(name="HasMore", default=False)
+
+
+class _WatchResult(msgspec.Struct):
+    events: list[_Item]
+    as_of: int = msgspec.field(name="AsOf")
+
+
+class _WriteResult(msgspec.Struct):
+    revision: int = msgspec.field(name="Revision")
+
+
+class _LeaseResult(msgspec.Struct):
+    lease: int = msgspec.field(name="Lease")
+
+
+class _EmptyResult(msgspec.Struct):
+    """Result of which no field matters."""
+
+
+_Result = TypeVar("_Result", bound=msgspec.Struct)
+
+
 class PlatformStore:
     """HTTP client of the store; `LeasedStore` documents the methods.
 
@@ -68,15 +109,15 @@
             query = {"Prefix": prefix}
             if after:
                 query["after"] = after
-            result = self._get("range", "/v1/kv-range", query)
+            result = self._get("range", "/v1/kv-range", query, _RangeResult)
             # The pages are not a snapshot: keys of earlier pages may change
             # before a later page is read. A watch has to start at the revision
             # of the first page.
             if as_of < 0:
-                as_of = int(result["AsOf"])
-            page = [_to_item(each) for each in result["items"]]
+                as_of = result.as_of
+            page = [each.to_item() for each in result.items]
             items += page
-            if not result.get("HasMore") or not page:
+            if not result.has_more or not page:
                 return store.Page(items, as_of)
             after = page[-1].key
 
@@ -88,10 +129,14 @@
             "WaitMs": str(int(wait_s * 1000)),
         }
         result = self._get(
-            "watch", "/v1/kv-watch", query, wait_s + WATCH_MARGIN_S
+            "watch",
+            "/v1/kv-watch",
+            query,
+            _WatchResult,
+            wait_s + WATCH_MARGIN_S,
         )
-        items = [_to_item(each) for each in result["events"]]
-        return store.Page(items, int(result["AsOf"]))
+        items = [each.to_item() for each in result.events]
+        return store.Page(items, result.as_of)
 
     def write(
         self,
@@ -113,36 +158,53 @@
             ],
             "Deletes": list(deletes),
         }
-        result = self._post("txn", "/v1/kv-txn", body)
-        return int(result["Revision"])
+        result = self._post("txn", "/v1/kv-txn", body, _WriteResult)
+        return result.revision
 
     def grant_lease(self, ttl_s: float) -> int:
         """See `LeasedStore.grant_lease`."""
         result = self._post(
-            "lease", "/v1/kv-lease", {"TtlMs": int(ttl_s * 1000)}
+            "lease", "/v1/kv-lease", {"TtlMs": int(ttl_s * 1000)}, _LeaseResult
         )
-        return int(result["Lease"])
+        return result.lease
 
     def renew_lease(self, lease: int) -> None:
         """See `LeasedStore.renew_lease`."""
-        self._post("keep", f"/v1/kv-keep/{lease}", {})
+        self._post("keep", f"/v1/kv-keep/{lease}", {}, _EmptyResult)
 
     def end_lease(self, lease: int) -> None:
         """See `LeasedStore.end_lease`."""
-        self._call("lease_end", b"DELETE", f"/v1/kv-lease-end/{lease}", b"")
+        self._call(
+            "lease_end",
+            b"DELETE",
+            f"/v1/kv-lease-end/{lease}",
+            b"",
+            _EmptyResult,
+        )
 
     def _get(
         self,
         operation: str,
         path: str,
         query: dict[str, str],
+        result_type: type[_Result],
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Any:
+    ) -> _Result:
         target = f"{path}?{parse.urlencode(query, safe='/')}"
-        return self._call(operation, b"GET", target, b"", timeout_s)
+        return self._call(
+            operation, b"GET", target, b"", result_type, timeout_s=timeout_s
+        )
 
-    def _post(self, operation: str, path: str, body: dict[str, Any]) -> Any:
-        return self._call(operation, b"POST", path, msgspec.json.encode(body))
+    def _post(
+        self,
+        operation: str,
+        path: str,
+        body: dict[str, Any],
+        result_type: type[_Result],
+    ) -> _Result:
+        return self._call(
+            operation, b"POST", path, msgspec.json.encode(body), result_type
+        )
 
     def _call(
         self,
@@ -150,8 +212,10 @@
         method: bytes,
         target: str,
         body: bytes,
+        result_type: type[_Result],
+        *,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Any:
+    ) -> _Result:
         """Returns the decoded body of the response."""
         self._count(operation)
         step = f"store.{operation}"
@@ -185,7 +249,7 @@
             self._idle.append(conn)
         else:
             conn.close()
-        return _decode(response, operation, step, peer)
+        return _decode(response, operation, step, peer, result_type)
 
     def _end_watches(self) -> None:
         """Closes the connections of the watches in progress."""
@@ -205,8 +269,12 @@
 
 
 def _decode(
-    response: http1.Response, operation: str, step: str, peer: str
-) -> Any:
+    response: http1.Response,
+    operation: str,
+    step: str,
+    peer: str,
+    result_type: type[_Result],
+) -> _Result:
     status = response.status
     if status == 410:
         raise errors.HistoryLostError(
@@ -227,15 +295,8 @@
             f"response status {status}", step=step, peer=peer
         )
     try:
-        return msgspec.json.decode(response.body or b"{}")
-    except msgspec.DecodeError as exc:
+        return msgspec.json.decode(response.body or b"{}", type=result_type)
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise errors.StoreUnavailableError(
             f"malformed response: {exc}", step=step, peer=peer
         ) from exc
-
-
-def _to_item(fields: dict[str, Any]) -> store.Item:
-    value: bytes | None = None
-    if not fields.get("Deleted"):
-        value = base64.b64decode(fields.get("Value", ""))
-    return store.Item(str(fields["Key"]), value, int(fields["Revision"]))
