Let linked nodes check the store for each other

A node with links learns of a later version from its peers, so only a node without links has to notice a lost response by its own waits. The waits of linked nodes grow with the fleet, so that its calls do not.

--- a/flamingolug/gateway/_configuration_watcher.py
+++ b/flamingolug/gateway/_configuration_watcher.py
@@ -15,23 +15,6 @@
 from flamingolug.gateway import _tasks
 
 _LOGGER = logging.getLogger(__name__)
-#: Seconds from the end of a watch's wait to the next attempt if the response is
-#: lost: the time-out of the call, and the wait after a first failure.
-_RETRY_S = 1.6
-#: Shortest wait of a watch, seconds.
-_MIN_WAIT_S = 0.5
-
-
-def watch_wait_s(detection_s: float) -> float:
-    """Returns the seconds for which a watch waits for a change.
-
-    Until the wait ends, a watch whose response was lost can't be told from one
-    that nothing has answered yet.
-
-    Args:
-        detection_s: seconds after which a lost response must have been noticed.
-    """
-    return max(detection_s - _RETRY_S, _MIN_WAIT_S)
 
 
 class ActiveConfiguration(NamedTuple):
@@ -44,12 +27,13 @@
 class Dependencies(NamedTuple):
     """Dependencies of the watcher."""
 
-    cfg: _model.GatewaySettings
     store: store.LeasedStore
     #: Key under which operators store the configuration.
     key: str
     #: Decodes a stored document; raises ConfigurationError.
     decode: Callable[[bytes], _model.Configuration]
+    #: Returns the seconds for which the next watch waits for a change.
+    wait_s: Callable[[], float]
 
 
 class ConfigurationWatcher:
@@ -104,14 +88,13 @@
     def _watch(self) -> None:
         after = -1
         backoff = _backoff.Backoff("configuration")
-        longest_wait_s = watch_wait_s(self._deps.cfg.detection_s)
         while True:
             try:
                 if after < 0:
                     page = self._deps.store.read(self._deps.key)
                 else:
                     # After a failure, the first answer must not take long.
-                    wait_s = longest_wait_s if self.following else 0.0
+                    wait_s = self._deps.wait_s() if self.following else 0.0
                     page = self._deps.store.watch(self._deps.key, after, wait_s)
             except errors.HistoryLostError:
                 after = -1
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -26,9 +26,6 @@
 _LOGGER = logging.getLogger(__name__)
 #: Prefix of the keys of upstreams.
 PREFIX = "fl/upstreams/"
-#: Seconds for which a watch waits for a change. A lost response is noticed at
-#: its end, as late as the entry of a failed node disappears.
-WATCH_WAIT_S = 8.0
 #: Seconds for which an upstream is still used after its entry has disappeared,
 #: so that an entry whose lease ended during an outage of the store can be
 #: written again.
@@ -102,6 +99,8 @@
     #: Requests the entries of a linked node; `merge_from_peer` is called with
     #: the answer.
     request_from_peer: Callable[[], None]
+    #: Returns the seconds for which the next watch waits for a change.
+    wait_s: Callable[[], float]
 
 
 class DirectoryEntry:
@@ -398,7 +397,7 @@
                 if after < 0:
                     after = self._list()
                 # After a failure, the first answer must not take long.
-                wait_s = 0.0 if self._store_failing else WATCH_WAIT_S
+                wait_s = 0.0 if self._store_failing else self._deps.wait_s()
                 page = self._deps.store.watch(PREFIX, after, wait_s)
             except errors.HistoryLostError:
                 after = -1
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -586,6 +586,10 @@
             < self._idle_probe_s + PROBE_RESPONSE_TIMEOUT_S
         )
 
+    def live_count(self) -> int:
+        """Returns the number of links to peers that have not timed out."""
+        return sum(self.is_live(address) for address in self._links)
+
     def queued_bytes(self) -> int:
         """Returns the bytes of frames that have not been written yet."""
         return sum(link.queued_bytes for link in self._links.values())
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -21,6 +21,7 @@
 from flamingolug.gateway import _pressure
 from flamingolug.gateway import _request
 from flamingolug.gateway import _upstreams
+from flamingolug.gateway import _watch_wait
 
 #: Name of the program to which these plug-ins belong.
 PROGRAM = "gateway"
@@ -50,6 +51,10 @@
     return parts.get("gateway.random", random.Random)
 
 
+def _live_links(parts: kernel.Kernel) -> int:
+    return parts.get("gateway.links", _link.Links).live_count()
+
+
 @kernel.plugin("gateway.random", (), PROGRAM)
 def _build_random(parts: kernel.Kernel) -> object:
     del parts
@@ -75,10 +80,16 @@
     environment = _environment_of(parts)
     return _configuration_watcher.ConfigurationWatcher(
         _configuration_watcher.Dependencies(
-            _settings(parts),
             _store(parts),
             environment.configuration_key,
             environment.decode_configuration,
+            lambda: _watch_wait.configuration_wait_s(
+                environment.settings.detection_s,
+                _live_links(parts),
+                parts.get(
+                    "gateway.directory", _directory.Directory
+                ).node_count(),
+            ),
         )
     )
 
@@ -168,6 +179,7 @@
             lambda: parts.get(
                 "gateway.peer-server", _peer_server.PeerServer
             ).request_entries(),
+            lambda: _watch_wait.entries_wait_s(_live_links(parts)),
         )
     )
 
