Let linked nodes wait longer before they check the configuration

With links, a lost response costs what the peers need to pass on the version, not the node's own wait. Four linked nodes together now check as often as one without links, in place of sixteen: 3 checks a second of the fleet.

--- a/flamingolug/gateway/_watch_wait.py
+++ b/flamingolug/gateway/_watch_wait.py
@@ -17,7 +17,7 @@
 #: Links on which data arrives, from which on a node relies on its peers too.
 MIN_LIVE_LINKS = 2
 #: Linked nodes that together check the store as often as one without links.
-NODES_PER_CHECK = 16
+NODES_PER_CHECK = 4
 #: Wait of a node without links for a change of the entries, seconds. The gate
 #: of an upstream refuses calls that an outdated entry causes.
 UNLINKED_ENTRIES_WAIT_S = 8.0
--- a/flamingolug/gateway/tests/test_watch_wait.py
+++ b/flamingolug/gateway/tests/test_watch_wait.py
@@ -34,13 +34,21 @@
             _watch_wait.entries_wait_s(0), _announcer.LEASE_TTL_S
         )
 
-    def test_linked_nodes_check_as_often_as_a_small_fleet(self) -> None:
+    def test_linked_nodes_check_as_often_as_four_without_links(self) -> None:
         """Checks of a fleet in a second; its rate must not follow its size."""
-        for nodes, most_checks in ((14, 12.0), (85, 12.0), (194, 12.0)):
+        for nodes, most_checks in ((4, 3.0), (17, 3.0), (74, 3.0)):
             with self.subTest(nodes=nodes):
                 wait_s = _watch_wait.configuration_wait_s(3.0, 5, nodes)
                 self.assertLess(nodes / wait_s, most_checks)
 
+    def test_checks_of_a_larger_fleet_are_those_of_its_longest_wait(
+        self,
+    ) -> None:
+        self.assertEqual(
+            _watch_wait.configuration_wait_s(3.0, 5, 194),
+            _watch_wait.LONGEST_WAIT_S,
+        )
+
     def test_wait_stays_within_that_of_the_store(self) -> None:
         longest_s = 30.0
         for nodes in (1, 730, 10_000):
