--- a/flamingolug_bench/soak/tests/test_relay.py
+++ b/flamingolug_bench/soak/tests/test_relay.py
@@ -28,6 +28,12 @@
         self, handle: Callable[[gevent_socket.socket, object], None]
     ) -> gevent_socket.socket:
         """Returns a connection through a relay to a server."""
+        return self._connect_relay(handle)[1]
+
+    def _connect_relay(
+        self, handle: Callable[[gevent_socket.socket, object], None]
+    ) -> tuple[relay_program.Relay, gevent_socket.socket]:
+        """Returns a relay to a server, and a connection through it."""
         server = gevent_server.StreamServer(http1.listen(_HOST, 0), handle)
         server.start()
         self.addCleanup(server.stop, timeout=0)
@@ -40,7 +46,16 @@
             (_HOST, relay._server.server_port)
         )
         self.addCleanup(sock.close)
-        return sock
+        return relay, sock
+
+    # Guards against a soak that ends when two faults reset a connection.
+    def test_connection_is_reset_once_by_two_faults(self) -> None:
+        relay, sock = self._connect_relay(lambda sock, peer: gevent.sleep(5.0))
+        gevent.sleep(0.1)
+        for _ in range(2):
+            relay.set_fault(relay_program.Fault(reset_open=True))
+        with self.assertRaises(ConnectionResetError):
+            sock.recv(1)
 
     # Guards against a relay that drops an answer which a node writes just
     # before it closes the connection.
--- a/flamingolug_standins/relay_program.py
+++ b/flamingolug_standins/relay_program.py
@@ -181,7 +181,10 @@
 
 
 def _reset(sock: Any) -> None:
-    """Closes a connection with a TCP reset instead of a FIN."""
+    """Closes a connection with a TCP reset instead of a FIN, once."""
+    if sock.fileno() < 0:
+        # An earlier reset has closed it, and its handler has not ended yet.
+        return
     sock.setsockopt(
         socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
     )
