Check the watch of the configuration only at nodes in use

Watches wait as long as before again. A request looks whether the last answer of the store is older than the interval, and starts a check: a watch that does not wait, on another connection. If it returns a change, the waiting watch has lost it and is made anew. Nodes with links check less often, as before. The watch of the entries has no check: peers correct it once a node has links, and a node without links uses its own upstream only.

--- a/flamingolug/gateway/_configuration_watcher.py
+++ b/flamingolug/gateway/_configuration_watcher.py
@@ -9,12 +9,16 @@
 from flamingolug import errors
 from flamingolug import store
 from flamingolug import telemetry
+from flamingolug import timing
 from flamingolug.gateway import _backoff
 from flamingolug.gateway import _model
 from flamingolug.gateway import _routes
 from flamingolug.gateway import _tasks
+from flamingolug.gateway import _watch_wait
 
 _LOGGER = logging.getLogger(__name__)
+#: Seconds between two looks whether a check of the watch is due.
+CHECK_LOOK_INTERVAL_S = 0.25
 
 
 class ActiveConfiguration(NamedTuple):
@@ -32,8 +36,9 @@
     key: str
     #: Decodes a stored document; raises ConfigurationError.
     decode: Callable[[bytes], _model.Configuration]
-    #: Returns the seconds for which the next watch waits for a change.
-    wait_s: Callable[[], float]
+    timers: timing.Timers
+    #: Returns the seconds between checks of the watch while the node is in use.
+    check_interval_s: Callable[[], float]
 
 
 class ConfigurationWatcher:
@@ -46,12 +51,29 @@
         self.following = False
         self._deps = deps
         self._task: gevent.Greenlet[[], None] | None = None
+        #: Revision up to which all changes have been received, -1 for none.
+        self._after = -1
+        #: Clock reading of the last answer of the store to a watch or check.
+        self._answered_at = 0.0
+        self._checking = False
+        #: Clock reading from which on a request looks whether a check is due.
+        self._look_at = 0.0
 
     @property
     def version(self) -> int:
         """Version of the active configuration, 0 for none."""
         return self.active.cfg.version if self.active else 0
 
+    def use(self) -> ActiveConfiguration | None:
+        """Returns the configuration for a request; checks the watch if due."""
+        now = self._deps.timers.now()
+        if now >= self._look_at and self.following and not self._checking:
+            self._look_at = now + CHECK_LOOK_INTERVAL_S
+            if now - self._answered_at >= self._deps.check_interval_s():
+                self._checking = True
+                gevent.spawn(self._check)
+        return self.active
+
     def document(self) -> bytes | None:
         """Returns the document of the active configuration, None for none."""
         return self.active.cfg.document if self.active else None
@@ -85,19 +107,57 @@
         if self._task is not None:
             self._task.kill(block=False)
 
+    def _check(self) -> None:
+        """Looks for changes that the waiting watch should have returned.
+
+        If the check is not answered either, the store's client ends the watch.
+        """
+        try:
+            page = self._deps.store.watch(self._deps.key, self._after, 0.0)
+        except errors.StoreError as exc:
+            telemetry.failure(_LOGGER, "configuration.not_checked", exc)
+            return
+        finally:
+            self._checking = False
+        self._answered_at = self._deps.timers.now()
+        if page.as_of <= self._after or not page.items:
+            return
+        telemetry.event(
+            _LOGGER,
+            "configuration.behind",
+            level=logging.WARNING,
+            revision=self._after,
+            told=page.as_of,
+        )
+        self._apply(page)
+        if self._task is not None:
+            self._task.kill(block=False)
+            self.start()
+
+    def _apply(self, page: store.Page) -> None:
+        """Activates what a page of the store has."""
+        self._answered_at = self._deps.timers.now()
+        self._after = max(page.as_of, self._after)
+        for item in page.items:
+            if item.key == self._deps.key and item.value is not None:
+                self.activate_if_newer(item.value, "store")
+
     def _watch(self) -> None:
-        after = -1
         backoff = _backoff.Backoff("configuration")
         while True:
             try:
-                if after < 0:
+                if self._after < 0:
                     page = self._deps.store.read(self._deps.key)
                 else:
                     # After a failure, the first answer must not take long.
-                    wait_s = self._deps.wait_s() if self.following else 0.0
-                    page = self._deps.store.watch(self._deps.key, after, wait_s)
+                    wait_s = (
+                        _watch_wait.LONGEST_WAIT_S if self.following else 0.0
+                    )
+                    page = self._deps.store.watch(
+                        self._deps.key, self._after, wait_s
+                    )
             except errors.HistoryLostError:
-                after = -1
+                self._after = -1
                 continue
             except errors.StoreError as exc:
                 self.following = False
@@ -105,7 +165,4 @@
                 continue
             backoff.reset()
             self.following = True
-            after = max(page.as_of, after)
-            for item in page.items:
-                if item.key == self._deps.key and item.value is not None:
-                    self.activate_if_newer(item.value, "store")
+            self._apply(page)
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -22,6 +22,7 @@
 from flamingolug.gateway import _backoff
 from flamingolug.gateway import _model
 from flamingolug.gateway import _tasks
+from flamingolug.gateway import _watch_wait
 
 _LOGGER = logging.getLogger(__name__)
 #: Prefix of the keys of upstreams.
@@ -99,8 +100,6 @@
     #: Requests the entries of a linked node; `merge_from_peer` is called with
     #: the answer.
     request_from_peer: Callable[[], None]
-    #: Returns the seconds for which the next watch waits for a change.
-    wait_s: Callable[[], float]
 
 
 class DirectoryEntry:
@@ -397,7 +396,9 @@
                 if after < 0:
                     after = self._list()
                 # After a failure, the first answer must not take long.
-                wait_s = 0.0 if self._store_failing else self._deps.wait_s()
+                wait_s = (
+                    0.0 if self._store_failing else _watch_wait.LONGEST_WAIT_S
+                )
                 page = self._deps.store.watch(PREFIX, after, wait_s)
             except errors.HistoryLostError:
                 after = -1
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -83,7 +83,8 @@
             _store(parts),
             environment.configuration_key,
             environment.decode_configuration,
-            lambda: _watch_wait.configuration_wait_s(
+            _timers(parts),
+            lambda: _watch_wait.check_interval_s(
                 environment.settings.detection_s,
                 _live_links(parts),
                 parts.get(
@@ -179,7 +180,6 @@
             lambda: parts.get(
                 "gateway.peer-server", _peer_server.PeerServer
             ).request_entries(),
-            lambda: _watch_wait.entries_wait_s(_live_links(parts)),
         )
     )
 
--- a/flamingolug/gateway/_request.py
+++ b/flamingolug/gateway/_request.py
@@ -135,7 +135,7 @@
         self, state: _request_state.RequestState
     ) -> _request_state.Answer:
         """Routes a request and returns its answer."""
-        active = self._deps.watcher.active
+        active = self._deps.watcher.use()
         header_names = self._deps.header_names
         request_id = state.request.header(header_names.request_id).decode(
             "latin-1"
