--- a/flamingolug/gateway/_configuration_watcher.py
+++ b/flamingolug/gateway/_configuration_watcher.py
@@ -67,7 +67,8 @@
     def use(self) -> ActiveConfiguration | None:
         """Returns the configuration for a request; checks the watch if due."""
         now = self._deps.timers.now()
-        if now >= self._look_at and self.following and not self._checking:
+        checkable = self.following and self._after >= 0 and not self._checking
+        if checkable and now >= self._look_at:
             self._look_at = now + CHECK_LOOK_INTERVAL_S
             if now - self._answered_at >= self._deps.check_interval_s():
                 self._checking = True
