--- a/flamingolug/gateway/_configuration_watcher.py
+++ b/flamingolug/gateway/_configuration_watcher.py
@@ -14,7 +14,7 @@
 from flamingolug.gateway import _model
 from flamingolug.gateway import _routes
 from flamingolug.gateway import _tasks
-from flamingolug.gateway import _watch_wait
+from flamingolug.gateway import _watch_checks
 
 _LOGGER = logging.getLogger(__name__)
 #: Seconds between two looks whether a check of the watch is due.
@@ -152,7 +152,7 @@
                 else:
                     # After a failure, the first answer must not take long.
                     wait_s = (
-                        _watch_wait.LONGEST_WAIT_S if self.following else 0.0
+                        _watch_checks.LONGEST_WAIT_S if self.following else 0.0
                     )
                     page = self._deps.store.watch(
                         self._deps.key, self._after, wait_s
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -22,7 +22,7 @@
 from flamingolug.gateway import _backoff
 from flamingolug.gateway import _model
 from flamingolug.gateway import _tasks
-from flamingolug.gateway import _watch_wait
+from flamingolug.gateway import _watch_checks
 
 _LOGGER = logging.getLogger(__name__)
 #: Prefix of the keys of upstreams.
@@ -397,7 +397,7 @@
                     after = self._list()
                 # After a failure, the first answer must not take long.
                 wait_s = (
-                    0.0 if self._store_failing else _watch_wait.LONGEST_WAIT_S
+                    0.0 if self._store_failing else _watch_checks.LONGEST_WAIT_S
                 )
                 page = self._deps.store.watch(PREFIX, after, wait_s)
             except errors.HistoryLostError:
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -21,7 +21,7 @@
 from flamingolug.gateway import _pressure
 from flamingolug.gateway import _request
 from flamingolug.gateway import _upstreams
-from flamingolug.gateway import _watch_wait
+from flamingolug.gateway import _watch_checks
 
 #: Name of the program to which these plug-ins belong.
 PROGRAM = "gateway"
@@ -84,7 +84,7 @@
             environment.configuration_key,
             environment.decode_configuration,
             _timers(parts),
-            lambda: _watch_wait.check_interval_s(
+            lambda: _watch_checks.check_interval_s(
                 environment.settings.detection_s,
                 _live_links(parts),
                 parts.get(
--- a/flamingolug/gateway/tests/test_configuration_watcher.py
+++ b/flamingolug/gateway/tests/test_configuration_watcher.py
@@ -11,12 +11,12 @@
 from flamingolug import timing
 from flamingolug.gateway import _backoff
 from flamingolug.gateway import _configuration_watcher
-from flamingolug.gateway import _watch_wait
+from flamingolug.gateway import _watch_checks
 from flamingolug.platform import _store
 
 _DETECTION_S = 3.0
 _CHECK_INTERVAL_S = 2.0
-_LONG_S = _watch_wait.LONGEST_WAIT_S
+_LONG_S = _watch_checks.LONGEST_WAIT_S
 
 
 class _Store:
