--- a/flamingolug/platform/tests/test_lost_responses.py
+++ b/flamingolug/platform/tests/test_lost_responses.py
@@ -7,7 +7,9 @@
 import gevent
 
 from flamingolug import errors
+from flamingolug.gateway import _announcer
 from flamingolug.gateway import _directory
+from flamingolug.gateway import _model
 from flamingolug.platform import _store
 from flamingolug.platform.tests import deployment
 from flamingolug.platform.tests import processes
@@ -111,3 +113,38 @@
         with self.assertRaises(errors.StoreUnavailableError):
             self.client.grant_lease(8.0)
         self.assertFalse(watch.ready())
+
+
+class DirectoryTest(unittest.TestCase):
+    """The watch of the entries; a node without links has no peer to ask."""
+
+    # Guards against a watch of the entries that receives nothing for 30 s.
+    def test_entry_is_found_after_the_response_to_the_watch_was_lost(
+        self,
+    ) -> None:
+        routes = [documents.make_route("read", "shelf")]
+        test_deployment = deployment.Deployment(("shelf",), routes)
+        self.addCleanup(test_deployment.stop)
+        shelf = test_deployment.instances[0]
+        kv = test_deployment.store
+        entry = _model.Upstream(
+            "i-1",
+            "front",
+            "z1",
+            "127.0.0.9",
+            9,
+            1,
+            _model.UpstreamState.READY,
+            1,
+            1,
+        )
+        gevent.sleep(0.5)
+        kv.lose_watches = True
+        kv.put(_directory.PREFIX + entry.id, _directory.encode_entry(entry))
+        deployment.wait_until(lambda: kv.lost_responses > 0, "response lost")
+        kv.lose_watches = False
+        deployment.send_request(shelf, "read", "in-use")
+        began_at = time.monotonic()
+        shelf.wait_for_upstreams(("front",))
+        limit_s = _announcer.LEASE_TTL_S + _store.CALL_TIMEOUT_S + 1.0
+        self.assertLess(time.monotonic() - began_at, limit_s)
