Keep a half-closed connection while its caller receives the answer

A caller that reads slowly for longer than twice the idle time-out and sends a further request behind loses the rest of its answer.

Cause: the half-close of an idle connection began one wait of fixed length for the caller to close in turn. At its end the connection was closed in both directions, whatever the caller had received meanwhile; a request that arrives there resets it.

Ruled out: a reset by the stop (the node of this test runs on), a lost half-close (the reset follows the further request).

Change: the wait starts again when the caller's host has received more.

The test was wrong in one point: its caller received nothing for longer than the limit, which may cut it.

Read with it: the wait for unsent output at a stop, send_all (counts from the last progress), links between nodes, http1.serve_connection (2 s behind a small last response); none has a limit of that kind that callers can meet.

--- a/flamingolug/gateway/_entry.py
+++ b/flamingolug/gateway/_entry.py
@@ -85,8 +85,10 @@
         """Creates a connection that owns an accepted stream."""
         self.peer = peer
         #: Clock reading since which this side waits for the caller to close the
-        #: connection, None before that.
+        #: connection, or to receive more of its output; None before that.
         self.lingering_since: float | None = None
+        #: Bytes that the caller's host had not received at `lingering_since`.
+        self._lingering_bytes = 0
         self.closing = False
         #: Clock reading at which data was last received or a response
         #: written; initially that of the connection's start.
@@ -206,6 +208,21 @@
         self.closing = True
         self._linger()
 
+    def linger_s(self) -> float:
+        """Returns for how long a half-closed connection has not moved on.
+
+        A caller that reads slowly, but reads, keeps its connection. 0 before
+        the half-close.
+        """
+        if self.lingering_since is None:
+            return 0.0
+        now = self._deps.timers.now()
+        unsent_bytes = self._stream.queued().unsent_bytes
+        if unsent_bytes < self._lingering_bytes:
+            self._lingering_bytes = unsent_bytes
+            self.lingering_since = now
+        return now - self.lingering_since
+
     def close(self, reason: str) -> None:
         """Closes the connection at once; the caller may lose what is unsent."""
         if not self._closed:
@@ -477,7 +494,8 @@
     def _linger(self) -> None:
         """Half-closes the connection and waits for the caller to close it.
 
-        The entry closes it if the caller takes longer than the idle time-out.
+        The entry closes it if the caller neither does so nor receives anything
+        for the idle time-out.
         """
         if self._closed:
             return
@@ -486,6 +504,7 @@
         except OSError as exc:
             self._abort("write-failed", str(exc))
             return
+        self._lingering_bytes = self._stream.queued().unsent_bytes
         self.lingering_since = self._deps.timers.now()
 
     def _abort(self, reason: str, error: str) -> None:
@@ -589,10 +608,9 @@
     def _sweep(self) -> None:
         now = self._deps.timers.now()
         for connection in list(self._connections):
-            lingering_since = connection.lingering_since
             idle_timeout_s = connection.limits.idle_timeout_s
-            if lingering_since is not None:
-                if now - lingering_since > idle_timeout_s:
+            if connection.lingering:
+                if connection.linger_s() > idle_timeout_s:
                     connection.close("linger-timeout")
                 continue
             inactive_s = now - connection.active_at
--- a/flamingolug/gateway/tests/test_entry.py
+++ b/flamingolug/gateway/tests/test_entry.py
@@ -104,19 +104,20 @@
         watcher: Any = types.SimpleNamespace(active=None)
         cfg: Any = None
         stream: Any = self.stream
-        self.connection = _entry.CallerConnection(
-            stream,
-            "peer:1",
-            _entry.Dependencies(
-                cfg,
-                watcher,
-                self.timers,
-                handler,
-                _metrics.Metrics(self.counters),
-                b"id",
-            ),
+        deps = _entry.Dependencies(
+            cfg,
+            watcher,
+            self.timers,
+            handler,
+            _metrics.Metrics(self.counters),
+            b"id",
         )
+        self.connection = _entry.CallerConnection(stream, "peer:1", deps)
         self.task = gevent.spawn(self.connection.run)
+        #: Checks the connection as the clock advances.
+        self.entry = _entry.Entry(deps)
+        self.entry.start()
+        self.entry._connections.add(self.connection)
 
     def send(self, *request_ids: str) -> None:
         """Sends requests in one write and lets the entry read them."""
@@ -415,3 +416,20 @@
         caller.stream.queues = http1.Queued(0, 0)
         self.assertFalse(caller.connection.has_work)
         self.assertFalse(caller.connection.is_idle())
+
+    # Guards against a time-out of a half-closed connection that resets an
+    # answer which its caller still reads, slowly.
+    def test_half_closed_connection_lasts_while_the_caller_reads(self) -> None:
+        caller = _Caller()
+        caller.send("r1")
+        caller.answer(b"r1")
+        idle_s = caller.connection.limits.idle_timeout_s
+        caller.stream.queues = http1.Queued(0, 1000)
+        caller.timers.advance(idle_s + 1.0)
+        self.assertTrue(caller.stream.half_closed)
+        for unsent_bytes in range(999, 900, -10):
+            caller.stream.queues = http1.Queued(0, unsent_bytes)
+            caller.timers.advance(idle_s - 1.0)
+            self.assertFalse(caller.stream.closed, unsent_bytes)
+        caller.timers.advance(idle_s + 1.0)
+        self.assertTrue(caller.stream.closed)
--- a/flamingolug/platform/tests/test_lost.py
+++ b/flamingolug/platform/tests/test_lost.py
@@ -642,9 +642,11 @@
     def test_stop_waits_for_the_output_of_an_idle_connection(self) -> None:
         self._read_after_stop(processes.GRACE_S, 0.8)
 
-    # Guards against an idle time-out that resets an answer.
+    # Guards against an idle time-out that resets an answer which its caller
+    # still reads, and against a second one that does so after the half-close.
     def test_answer_is_read_to_its_end_after_the_idle_time_out(self) -> None:
-        limits = _entry.FIRST_LIMITS._replace(idle_timeout_s=0.5)
+        idle_timeout_s = 1.0
+        limits = _entry.FIRST_LIMITS._replace(idle_timeout_s=idle_timeout_s)
         self.shelf.server.rewrite_response = _enlarge(_BUFFERED_BYTES)
         caller = self.connect(self.shelf.settings.outbound, _SMALL_BUFFER_BYTES)
         entry = self.shelf.node.parts.get("gateway.entry", _entry.Entry)
@@ -652,7 +654,14 @@
         for connection in entry._connections:
             connection.limits = limits
         caller.send("m0")
-        gevent.sleep(1.4)
+        # The idle time-out, the wait for the caller, and a sweep for each.
+        ends_at = time.monotonic() + 2 * (
+            idle_timeout_s + _entry.SWEEP_INTERVAL_S
+        )
+        while time.monotonic() < ends_at:
+            caller.read(1024)
+            gevent.sleep(0.05)
+        self.assertEqual(caller.answers, [])
         caller.send("m1")
         gevent.sleep(0.1)
         caller.read_to_end(0.001)
