Check the watch of the entries at nodes in use

Cause: the wait of a long poll is the time for which a lost response goes unnoticed. The configuration has a check since, the entries had none.

The check is a watch that does not wait, on another connection. Changes that it finds restart the watch with a list; without changes the watch is kept. A timer, since the request that needs the entry may be the only one for a while. Idle nodes make no calls.

Read with it: both watches of a node (there are no others), the restart for a peer's later revision, which shares the code now.

The unit tests fail on the old code only since the check is missing there.

--- a/flamingolug/gateway/_configuration_watcher.py
+++ b/flamingolug/gateway/_configuration_watcher.py
@@ -49,6 +49,8 @@
         self.active: ActiveConfiguration | None = None
         #: Whether changes in the store are received without a gap.
         self.following = False
+        #: Clock reading of the last request, 0 before the first.
+        self.used_at = 0.0
         self._deps = deps
         self._task: gevent.Greenlet[[], None] | None = None
         #: Revision up to which all changes have been received, -1 for none.
@@ -67,6 +69,7 @@
     def use(self) -> ActiveConfiguration | None:
         """Returns the configuration for a request; checks the watch if due."""
         now = self._deps.timers.now()
+        self.used_at = now
         checkable = self.following and self._after >= 0 and not self._checking
         if checkable and now >= self._look_at:
             self._look_at = now + CHECK_LOOK_INTERVAL_S
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -45,6 +45,8 @@
 MAX_LAG_S = MAX_BATCH_DELAY_S + 1.5
 #: Shortest time between two restarts of the watch for that reason, seconds.
 MIN_RESTART_INTERVAL_S = 5.0
+#: Seconds between two looks whether a check of the watch is due.
+CHECK_LOOK_INTERVAL_S = 0.5
 
 
 def batch_delay_s(entry_count: int) -> float:
@@ -100,6 +102,10 @@
     #: Requests the entries of a linked node; `merge_from_peer` is called with
     #: the answer.
     request_from_peer: Callable[[], None]
+    #: Returns the clock reading of the last request, 0 before the first.
+    used_at: Callable[[], float]
+    #: Returns the seconds between checks of the watch while the node is in use.
+    check_interval_s: Callable[[], float]
 
 
 class DirectoryEntry:
@@ -151,8 +157,12 @@
         self._restarted_at = 0.0
         #: Whether the store has failed since it last answered.
         self._store_failing = False
+        #: Clock reading of the last answer of the store to a watch or check.
+        self._answered_at = 0.0
+        self._checking = False
         self._deps = deps
         self._task: gevent.Greenlet[[], None] | None = None
+        self._look_timer: timing.Subscription | None = None
         self._entries: dict[str, DirectoryEntry] = {}
         #: Keys of the entries of each node by the node's address for links.
         self._keys_by_address: dict[tuple[str, int], set[str]] = {}
@@ -163,12 +173,62 @@
     def start(self) -> None:
         """Starts to list and watch the store."""
         self._task = _tasks.spawn("directory", self._watch)
+        self._look_timer = self._deps.timers.every(
+            CHECK_LOOK_INTERVAL_S, self._check_if_due
+        )
 
     def stop(self) -> None:
         """Stops watching the store."""
+        if self._look_timer is not None:
+            self._look_timer.cancel()
         if self._task is not None:
             self._task.kill(block=False)
 
+    def _restart(self) -> None:
+        """Lists the store again and watches it on another connection."""
+        if self._task is not None:
+            self._task.kill(block=False)
+            self._task = _tasks.spawn("directory", self._watch)
+
+    def _check_if_due(self) -> None:
+        """Starts a check if requests rely on a watch without recent answers."""
+        if not self.synced.is_set() or self._store_failing or self._checking:
+            return
+        if self._deps.used_at() <= self._answered_at:
+            return
+        inactive_s = self._deps.timers.now() - self._answered_at
+        if inactive_s >= self._deps.check_interval_s():
+            self._checking = True
+            gevent.spawn(self._check)
+
+    def _check(self) -> None:
+        """Looks for changes that the waiting watch should have returned.
+
+        If the check is not answered either, the store's client ends the watch.
+        """
+        after = self._covered_revision
+        try:
+            page = self._deps.store.watch(PREFIX, after, 0.0)
+            changes = len(page.items)
+        except errors.HistoryLostError:
+            changes = -1
+        except errors.StoreError as exc:
+            telemetry.failure(_LOGGER, "directory.not_checked", exc)
+            return
+        finally:
+            self._checking = False
+        self._answered_at = self._deps.timers.now()
+        if not changes or after != self._covered_revision:
+            return
+        telemetry.event(
+            _LOGGER,
+            "directory.lost_changes",
+            level=logging.WARNING,
+            revision=after,
+            changes=changes,
+        )
+        self._restart()
+
     def find(self, upstream_id: str) -> _model.Upstream | None:
         """Returns an upstream whose entry is present, None without one."""
         entry = self._entries.get(PREFIX + upstream_id)
@@ -259,9 +319,8 @@
             told=revision,
             age_s=round(now - self._behind_since, 2),
         )
-        if self._task is not None and not self._store_failing:
-            self._task.kill(block=False)
-            self.start()
+        if not self._store_failing:
+            self._restart()
         return True
 
     def merge_from_peer(self, items: list[store.Item]) -> None:
@@ -412,6 +471,7 @@
                 continue
             backoff.reset()
             self._store_failing = False
+            self._answered_at = self._deps.timers.now()
             after = max(after, page.as_of)
             for item in page.items:
                 self.apply(item)
@@ -434,5 +494,6 @@
         self._covered_revision = page.as_of
         self.lacks_entries = False
         self._store_failing = False
+        self._answered_at = self._deps.timers.now()
         self.synced.set()
         return page.as_of
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -51,8 +51,13 @@
     return parts.get("gateway.random", random.Random)
 
 
-def _live_links(parts: kernel.Kernel) -> int:
-    return parts.get("gateway.links", _link.Links).live_count()
+def _check_interval_s(parts: kernel.Kernel, detection_s: float) -> float:
+    """Returns the seconds between checks of a watch of the store."""
+    return _watch_checks.check_interval_s(
+        detection_s,
+        parts.get("gateway.links", _link.Links).live_count(),
+        parts.get("gateway.directory", _directory.Directory).node_count(),
+    )
 
 
 @kernel.plugin("gateway.random", (), PROGRAM)
@@ -84,13 +89,7 @@
             environment.configuration_key,
             environment.decode_configuration,
             _timers(parts),
-            lambda: _watch_checks.check_interval_s(
-                environment.settings.detection_s,
-                _live_links(parts),
-                parts.get(
-                    "gateway.directory", _directory.Directory
-                ).node_count(),
-            ),
+            lambda: _check_interval_s(parts, environment.settings.detection_s),
         )
     )
 
@@ -180,6 +179,14 @@
             lambda: parts.get(
                 "gateway.peer-server", _peer_server.PeerServer
             ).request_entries(),
+            lambda: (
+                parts.get(
+                    "gateway.holder",
+                    _configuration_watcher.ConfigurationWatcher,
+                ).used_at
+            ),
+            # The entry of a node that is gone lasts as long anyway.
+            lambda: _check_interval_s(parts, _announcer.LEASE_TTL_S),
         )
     )
 
--- a/flamingolug/gateway/tests/test_directory.py
+++ b/flamingolug/gateway/tests/test_directory.py
@@ -13,6 +13,9 @@
 from flamingolug.gateway import _directory
 from flamingolug.gateway import _model
 
+#: Seconds between checks of the watch in these tests.
+_CHECK_INTERVAL_S = 7.0
+
 
 def _item(name: str, revision: int, host: str = "") -> store.Item:
     host = host or f"10.0.0.{ord(name[0])}"
@@ -25,13 +28,14 @@
 
 
 class _Store:
-    """A store whose watches never return."""
+    """A store whose watches return only if they need not wait."""
 
     def __init__(self) -> None:
         self.items: list[store.Item] = []
         self.as_of = 0
         self.unavailable = False
         self.list_calls = 0
+        self.check_calls = 0
 
     def list_prefix(self, prefix: str) -> store.Page:
         """Returns all entries, unless the store is unavailable."""
@@ -42,8 +46,12 @@
         return store.Page(list(self.items), self.as_of)
 
     def watch(self, prefix: str, after: int, wait_s: float) -> store.Page:
-        """Never returns."""
-        del prefix, after, wait_s
+        """Returns later entries, without end if it may wait."""
+        del prefix
+        if not wait_s:
+            self.check_calls += 1
+            items = [item for item in self.items if item.revision > after]
+            return store.Page(items, self.as_of)
         gevent.sleep(3600.0)
         raise AssertionError
 
@@ -53,7 +61,11 @@
         self.time_s = 100.0
         self.store = _Store()
         self.requests_to_peers = 0
-        timers: Any = types.SimpleNamespace(now=lambda: self.time_s)
+        self.used_at = 0.0
+        subscription = types.SimpleNamespace(cancel=lambda: None)
+        timers: Any = types.SimpleNamespace(
+            now=lambda: self.time_s, every=lambda *args: subscription
+        )
         self.directory = _directory.Directory(
             _directory.Dependencies(
                 "z0",
@@ -63,6 +75,8 @@
                 lambda upstream: False,
                 lambda key: None,
                 self._request_from_peer,
+                lambda: self.used_at,
+                lambda: _CHECK_INTERVAL_S,
             )
         )
         self.addCleanup(self.directory.stop)
@@ -120,6 +134,36 @@
         self.assertEqual(self.store.list_calls, 2)
         self.assertLessEqual(requests, 4)
 
+    def _pass_time(self, seconds: float) -> None:
+        """Lets time pass, with a look whether a check is due at its end."""
+        self.time_s += seconds
+        self.directory._check_if_due()
+        gevent.sleep(0.01)
+
+    # Guards against a watch that receives nothing until its wait ends.
+    def test_lost_change_is_found_by_a_check_of_a_node_in_use(self) -> None:
+        self._start()
+        self.store.items = [_item("a", 5)]
+        self.store.as_of = 5
+        self.used_at = self.time_s + 1.0
+        self._pass_time(_CHECK_INTERVAL_S - 0.1)
+        self.assertEqual(self._names(), set())
+        self._pass_time(0.1)
+        self.assertEqual(self._names(), {"a"})
+
+    def test_checks_without_changes_keep_the_watch(self) -> None:
+        self._start()
+        for _ in range(4):
+            self.used_at = self.time_s + 1.0
+            self._pass_time(_CHECK_INTERVAL_S)
+        self.assertEqual(self.store.check_calls, 4)
+        self.assertEqual(self.store.list_calls, 1)
+
+    def test_node_without_requests_makes_no_checks(self) -> None:
+        self._start()
+        self._pass_time(10 * _CHECK_INTERVAL_S)
+        self.assertEqual(self.store.check_calls, 0)
+
     def test_only_newer_entries_of_a_peer_are_merged(self) -> None:
         self.store.items = [_item("a", 5), _item("b", 6)]
         self.store.as_of = 8
--- a/flamingolug/gateway/tests/test_shift_load.py
+++ b/flamingolug/gateway/tests/test_shift_load.py
@@ -102,6 +102,8 @@
                 lambda upstream: False,
                 lambda key: None,
                 lambda: None,
+                lambda: 0.0,
+                lambda: 0.0,
             )
         )
         for revision, upstream in enumerate(upstreams, 1):
--- a/flamingolug/gateway/tests/test_upstreams.py
+++ b/flamingolug/gateway/tests/test_upstreams.py
@@ -37,6 +37,8 @@
                 lambda upstream: False,
                 lambda key: None,
                 lambda: None,
+                lambda: 0.0,
+                lambda: 0.0,
             )
         )
         for number in range(own_zone + other_zone):
