Half-close the connections of the demo product's server

What callers saw: at a stop of the demo product's node, a caller that reads an answer slowly and sends a further request behind got a connection reset in place of the rest. At any time the same happened behind an answer with Connection: close.

Cause: the stop waits for requests in progress only, so the exit closes idle connections whose output is still in the buffers of the socket; the last answer of a connection is followed by a close in both directions.

Change: idle connections are half-closed at a stop, which lasts until callers have received everything, within the time-out that it has. A last answer is followed by a half-close; what arrives behind is discarded until the caller closes or receives nothing for 5 s. A request that crosses the half-close is not run. The two queries of a socket's buffers are functions of http1 now.

A node on the platform does not use it.

--- a/flamingolug/http1/__init__.py
+++ b/flamingolug/http1/__init__.py
@@ -16,8 +16,10 @@
 from flamingolug.http1._parse import ResponseReader
 from flamingolug.http1._server import RequestHandler
 from flamingolug.http1._server import serve_connection
+from flamingolug.http1._stream import has_input
 from flamingolug.http1._stream import listen
 from flamingolug.http1._stream import Queued
+from flamingolug.http1._stream import queued
 from flamingolug.http1._stream import Stream
 
 __all__ = [
@@ -36,8 +38,10 @@
     "end_to_end_headers",
     "format_request",
     "format_response",
+    "has_input",
     "listen",
     "open_connection",
     "open_stream",
+    "queued",
     "serve_connection",
 ]
--- a/flamingolug/http1/_stream.py
+++ b/flamingolug/http1/_stream.py
@@ -76,6 +76,25 @@
     return size
 
 
+def has_input(sock: socket.socket | gevent_socket.socket) -> bool:
+    """Returns whether data or the end of the stream has arrived."""
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
+def queued(sock: socket.socket | gevent_socket.socket) -> Queued:
+    """Returns the bytes in the buffers of an open socket."""
+    try:
+        return Queued(
+            _query_size(sock.fileno(), termios.FIONREAD),
+            _query_size(sock.fileno(), termios.TIOCOUTQ),
+        )
+    except OSError:
+        # The kernel keeps no buffers for a socket that was reset.
+        return Queued(0, 0)
+
+
 class Stream:
     """One TCP connection."""
 
@@ -181,25 +200,11 @@
 
         Also True if the connection is closed on this side.
         """
-        if self.closed:
-            return True
-        poller = select.poll()
-        poller.register(self._raw.fileno(), select.POLLIN | select.POLLRDHUP)
-        return bool(poller.poll(0))
+        return self.closed or has_input(self._raw)
 
     def queued(self) -> Queued:
         """Returns the bytes in the socket's buffers, 0 once it is closed."""
-        if self.closed:
-            return Queued(0, 0)
-        descriptor = self._raw.fileno()
-        try:
-            return Queued(
-                _query_size(descriptor, termios.FIONREAD),
-                _query_size(descriptor, termios.TIOCOUTQ),
-            )
-        except OSError:
-            # The kernel keeps no buffers for a socket that was reset.
-            return Queued(0, 0)
+        return Queued(0, 0) if self.closed else queued(self._raw)
 
     def shutdown_write(self) -> None:
         """Shuts down the sending direction of the connection.
--- a/flamingolug/web/__init__.py
+++ b/flamingolug/web/__init__.py
@@ -6,11 +6,13 @@
 from flamingolug.web._server import Environ
 from flamingolug.web._server import header_pairs
 from flamingolug.web._server import json_response
+from flamingolug.web._server import KEEP_ALIVE_GRACE_S
 from flamingolug.web._server import read_body
 from flamingolug.web._server import Server
 from flamingolug.web._server import StartResponse
 
 __all__ = [
+    "KEEP_ALIVE_GRACE_S",
     "Environ",
     "Pool",
     "Response",
--- a/flamingolug/web/_server.py
+++ b/flamingolug/web/_server.py
@@ -1,5 +1,6 @@
 """HTTP server on gevent.pywsgi with graceful stop and body limits."""
 
+import contextlib
 import socket as plain_socket
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -11,6 +12,7 @@
 from gevent import socket
 
 from flamingolug import errors
+from flamingolug import http1
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
@@ -26,6 +28,10 @@
 #: Maximum seconds after the start of a stop in which callers may still send
 #: requests on connections that they keep open.
 KEEP_ALIVE_GRACE_S = 1.0
+#: Seconds in which a caller of a half-closed connection must receive something
+#: or close it.
+LINGER_S = 5.0
+_DISCARD_BYTES = 65536
 
 
 def _reject_ambiguous_length(headers: Any) -> None:
@@ -58,6 +64,7 @@
         """Serves one connection until either side closes it."""
         self.server.handlers.add(self)
         self.busy = False
+        self.finished = False
         try:
             super().handle()
         finally:
@@ -67,9 +74,56 @@
         """Reads the request line; the handler is busy once it has arrived."""
         self.busy = False
         line = super().read_requestline()
+        if self.finished:
+            # The request crossed the half-close; its response can't be sent.
+            return ""
         self.busy = bool(line)
         return line
 
+    def handle_one_request(self) -> Any:
+        """Serves one request; lingers if it is the last one."""
+        result = super().handle_one_request()
+        if result is None:
+            self._linger()
+        return result
+
+    def is_idle(self) -> bool:
+        """Returns whether no request is in progress or has arrived."""
+        return not (self.busy or http1.has_input(self.socket))
+
+    @property
+    def has_output(self) -> bool:
+        """Whether the caller's host has not received everything."""
+        return http1.queued(self.socket).unsent_bytes > 0
+
+    def finish(self) -> None:
+        """Half-closes the connection; further requests are not served."""
+        self.busy = False
+        self.finished = True
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(plain_socket.SHUT_WR)
+
+    def _linger(self) -> None:
+        """Half-closes the connection and waits until the caller closes it.
+
+        A close here would reset it if the caller has sent anything more, and
+        the caller would lose what it has not read.
+        """
+        self.finish()
+        unsent_bytes = http1.queued(self.socket).unsent_bytes
+        while True:
+            with (
+                contextlib.suppress(OSError, gevent.Timeout),
+                gevent.Timeout(LINGER_S),
+            ):
+                while self.socket.recv(_DISCARD_BYTES):
+                    pass
+                return
+            left_bytes = http1.queued(self.socket).unsent_bytes
+            if left_bytes >= unsent_bytes:
+                return
+            unsent_bytes = left_bytes
+
     def get_environ(self) -> Environ:
         """Returns the WSGI environment with the socket added."""
         environ: Environ = super().get_environ()
@@ -117,6 +171,19 @@
             handler_class=_Handler,
         )
 
+    def finish_idle(self) -> bool:
+        """Half-closes idle connections.
+
+        Returns:
+            Whether requests are in progress or responses on their way.
+        """
+        for handler in self.handlers:
+            if not handler.finished and handler.is_idle():
+                handler.finish()
+        return any(
+            not each.finished or each.has_output for each in self.handlers
+        )
+
 
 class Server:
     """HTTP server that runs a WSGI application on one address."""
@@ -151,10 +218,12 @@
     def stop(self, timeout_s: float) -> int:
         """Stops accepting, finishes requests in progress and closes.
 
+        Lasts until callers have received all responses.
+
         Args:
-            timeout_s: seconds to wait at most for requests in progress, but at
-                least `KEEP_ALIVE_GRACE_S`. A lower value shortens only the
-                period in which callers may still send requests.
+            timeout_s: seconds to wait at most for that, but at least
+                `KEEP_ALIVE_GRACE_S`. A lower value shortens only the period in
+                which callers may still send requests.
 
         Returns:
             The number of requests that were cut off at the time-out.
@@ -165,7 +234,7 @@
         try:
             with gevent.Timeout(max(timeout_s, KEEP_ALIVE_GRACE_S)):
                 gevent.sleep(min(KEEP_ALIVE_GRACE_S, timeout_s))
-                while any(each.busy for each in server.handlers):
+                while server.finish_idle():
                     gevent.sleep(_STOP_POLL_S)
         except gevent.Timeout:
             pass
--- a/flamingolug/web/tests/test_web.py
+++ b/flamingolug/web/tests/test_web.py
@@ -1,6 +1,10 @@
 """Tests of the HTTP client and the HTTP server."""
 
+import signal
 import socket as plain_socket
+import subprocess
+import sys
+import time
 import unittest
 from collections.abc import Iterable
 from typing import Any
@@ -10,6 +14,7 @@
 from gevent import socket
 
 from flamingolug import errors
+from flamingolug import http1
 from flamingolug import web
 
 _HOST = "127.0.0.1"
@@ -239,3 +244,98 @@
         response = request.get()
         self.assertEqual((cut_off, response.body), (0, b"body"))
         self.assertEqual(response.header("connection"), "close")
+
+
+#: A server that answers with `_LARGE_BYTES` and stops on SIGTERM. It prints its
+#: port, then the path of each request.
+_PROGRAM = """\
+import signal
+import gevent
+from gevent import event
+from flamingolug import web
+
+def answer(environ, start_response):
+    print(environ["PATH_INFO"], flush=True)
+    start_response("200 OK", [("Content-Length", "300000")])
+    return [b"b" * 300000]
+
+stop = event.Event()
+gevent.signal_handler(signal.SIGTERM, stop.set)
+server = web.Server("127.0.0.1", 0, answer)
+server.start()
+print(server.port, flush=True)
+stop.wait()
+raise SystemExit(server.stop(5.0))
+"""
+_LARGE_BYTES = 300_000
+#: Receive buffer of a caller that reads slowly; most of a response of
+#: `_LARGE_BYTES` stays in the buffer of the sender.
+_SMALL_BUFFER_BYTES = 4096
+
+
+class StopTest(unittest.TestCase):
+    """A process that stops while callers read responses slowly."""
+
+    def setUp(self) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, "-c", _PROGRAM], stdout=subprocess.PIPE, text=True
+        )
+        self.addCleanup(self._end)
+        self.port = int(self._read_line())
+
+    def _end(self) -> None:
+        self.process.kill()
+        self.process.wait()
+        if self.process.stdout is not None:
+            self.process.stdout.close()
+
+    def _read_line(self) -> str:
+        assert self.process.stdout is not None
+        return self.process.stdout.readline().strip()
+
+    def _connect(self) -> Any:
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(
+            plain_socket.SOL_SOCKET,
+            plain_socket.SO_RCVBUF,
+            _SMALL_BUFFER_BYTES,
+        )
+        sock.connect((_HOST, self.port))
+        return sock
+
+    def _read_rest(self, sock: Any) -> list[http1.Response]:
+        """Reads slowly until the connection ends; returns the responses."""
+        reader = http1.ResponseReader()
+        with gevent.Timeout(_TIMEOUT_S):
+            while data := sock.recv(65_536):
+                reader.feed(data)
+                gevent.sleep(0.001)
+        return list(reader.ready)
+
+    def _stop_while_reading(self, fields: bytes, after_s: float) -> None:
+        """Stops the process; sends a request behind an answer being read."""
+        sock = self._connect()
+        sock.sendall(b"GET /first HTTP/1.1\r\nHost: x\r\n" + fields + b"\r\n")
+        self.assertEqual(self._read_line(), "/first")
+        gevent.sleep(0.2)
+        self.process.send_signal(signal.SIGTERM)
+        gevent.sleep(after_s)
+        sock.sendall(b"GET /behind HTTP/1.1\r\nHost: x\r\n\r\n")
+        gevent.sleep(0.1)
+        responses = self._read_rest(sock)
+        self.assertEqual([len(each.body) for each in responses], [_LARGE_BYTES])
+        sock.close()
+        ends_at = time.monotonic() + _TIMEOUT_S
+        while self.process.poll() is None and time.monotonic() < ends_at:
+            gevent.sleep(0.02)
+        self.assertEqual(self.process.returncode, 0)
+        self.assertEqual(self._read_line(), "")
+
+    # Guards against an exit that resets an answer which its caller still reads.
+    def test_answer_of_an_idle_connection_is_read_to_its_end(self) -> None:
+        self._stop_while_reading(b"", web.KEEP_ALIVE_GRACE_S + 0.5)
+
+    # Guards against a close behind the last answer that resets it.
+    def test_answer_that_closes_its_connection_is_read_to_its_end(self) -> None:
+        self._stop_while_reading(b"Connection: close\r\n", 0.1)
