Soak: wait for a node's own handler before signals to it

Cause: before it sends a signal, the soak looks in /proc whether the node has replaced the action of SIGHUP. A process that ignores SIGHUP passes that on: under nohup every interpreter looked ready from its first instruction, and a SIGTERM in its first milliseconds ended it.

Change: a node counts as running once it catches SIGTERM and catches or ignores SIGHUP. The launcher sets SIGHUP first, so nothing that it handles is spared; SIGTERM during its imports is still part of the soak. The tests fail on the rule before (both of them).

--- a/flamingolug_bench/soak/_testbed.py
+++ b/flamingolug_bench/soak/_testbed.py
@@ -160,6 +160,30 @@
         return status, body + b"." * int(req.header(BYTES_HEADER) or 0)
 
 
+def handles_signals(process_id: int) -> bool:
+    """Returns whether a process catches SIGTERM, and catches or ignores SIGHUP.
+
+    A process can inherit that it ignores SIGHUP, so that one alone does not
+    show that its program has begun.
+    """
+    path = pathlib.Path(f"/proc/{process_id}/status")
+    try:
+        lines = path.read_text(encoding="utf-8").splitlines()
+    except OSError:
+        return False
+    masks = dict.fromkeys(("SigIgn", "SigCgt"), 0)
+    for line in lines:
+        name, _, mask = line.partition(":")
+        if name in masks:
+            masks[name] = int(mask, 16)
+    hangup = 1 << (signal.SIGHUP - 1)
+    terminate = 1 << (signal.SIGTERM - 1)
+    return bool(
+        masks["SigCgt"] & terminate
+        and (masks["SigIgn"] | masks["SigCgt"]) & hangup
+    )
+
+
 class Instance:
     """A node process, its upstream and the relays around both."""
 
@@ -250,24 +274,11 @@
         return self.process is None or self.process.poll() is not None
 
     def handles_signals(self) -> bool:
-        """Returns whether the node process has replaced the action of SIGHUP.
+        """Returns whether the node process has replaced the actions of signals.
 
         Until then the interpreter is starting, and signals end the process.
         """
-        if self.process is None:
-            return False
-        path = pathlib.Path(f"/proc/{self.process.pid}/status")
-        try:
-            lines = path.read_text(encoding="utf-8").splitlines()
-        except OSError:
-            return False
-        for line in lines:
-            name, _, mask = line.partition(":")
-            if name not in ("SigIgn", "SigCgt"):
-                continue
-            if int(mask, 16) & (1 << (signal.SIGHUP - 1)):
-                return True
-        return False
+        return self.process is not None and handles_signals(self.process.pid)
 
     def set_fault(self, relay: str, fault: relay_program.Fault) -> None:
         """Sets the fault of one relay."""
--- a/flamingolug_bench/soak/tests/test_soak.py
+++ b/flamingolug_bench/soak/tests/test_soak.py
@@ -1,5 +1,8 @@
 """Tests of the soak: its invariants, its schedule and a short run."""
 
+import signal
+import subprocess
+import sys
 import unittest
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -322,6 +325,42 @@
                     )
 
 
+class SignalsTest(unittest.TestCase):
+    def _handles_signals(self, statements: str) -> bool:
+        """Returns what the soak finds of a program that has begun with these.
+
+        The program inherits the actions of this process.
+        """
+        program = f"import signal; {statements}; print(flush=True); input()"
+        with subprocess.Popen(
+            [sys.executable, "-c", program],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        ) as process:
+            assert process.stdout is not None
+            process.stdout.readline()
+            handled = _testbed.handles_signals(process.pid)
+            process.kill()
+        return handled
+
+    # Guards against signals to an interpreter that is still starting, which
+    # end it.
+    def test_actions_of_both_signals_are_replaced_in_a_running_node(
+        self,
+    ) -> None:
+        hangup = "signal.signal(signal.SIGHUP, signal.SIG_IGN)"
+        terminate = "signal.signal(signal.SIGTERM, print)"
+        self.assertFalse(self._handles_signals(hangup))
+        self.assertFalse(self._handles_signals(terminate))
+        self.assertTrue(self._handles_signals(f"{hangup}; {terminate}"))
+
+    # Guards against a soak that takes what nohup has set for the node's own.
+    def test_inherited_action_is_no_sign_of_a_running_node(self) -> None:
+        before = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        self.addCleanup(signal.signal, signal.SIGHUP, before)
+        self.assertFalse(self._handles_signals("pass"))
+
+
 class SoakTest(unittest.TestCase):
     def test_short_run_violates_no_invariant(self) -> None:
         results = soak.run(_SEED, soak.SoakOptions(_DURATION_S), quiet=True)
