--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -1102,6 +1102,14 @@
         self._directory.cleanup()
 
 
+async def cancel(tasks: list[asyncio.Task[None]]) -> None:
+    """Cancels tasks and waits for their end."""
+    for task in tasks:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
 async def wait_until(
     condition: Callable[[], Awaitable[bool]], limit_s: float
 ) -> None:
