--- a/review/9/case.py
+++ b/review/9/case.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import pathlib
 import sys
 from typing import Any
@@ -154,10 +153,7 @@
         acknowledged_at, calm_at = await change(deployment, machine, trouble)
         await asyncio.sleep(TOUCH_S + OUTER_S)
     finally:
-        for task in tasks:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await standins_2.cancel(tasks)
         deployment.close()
     service_of = {run.request_id: run.service for run in deployment.runs()}
     in_touch_at = max(calm_at + TOUCH_S, acknowledged_at + APPLY_S)
