--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -1134,10 +1134,11 @@
         base = random.randrange(12000, 30000, 20)
         socks: list[socket.socket] = []
         try:
-            for offset in range(13):
-                sock = socket.socket()
-                socks.append(sock)
-                sock.bind(("", base + offset))
+            for host in ("127.0.0.10", "127.0.0.100"):
+                for offset in range(13):
+                    sock = socket.socket()
+                    socks.append(sock)
+                    sock.bind((host, base + offset))
         except OSError:
             continue
         finally:
@@ -1162,9 +1163,15 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # The end of this process ends the nodes too.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         try:
             broken = await asyncio.wait_for(play(record, trouble), 110.0)
-        except Exception as exc:
+        except (Exception, asyncio.CancelledError) as exc:
             record.write("could_not_run", error=repr(exc))
             print(f"could not run: {exc!r}", file=sys.stderr)
             return 2
