Acknowledge a departure only when its record is in the store

Cause: while the store turned the node away (503), the node acknowledged after 0.4 s what only its memory knew. Ruled out: a lost write (no call was accepted), and a replaced entry (it was never written).

Without a record within 0.8 s the answer is 503. The gate refuses calls from the notice on in either case. A notice for an upstream that is not the one in use is answered at once, since whoever has its address now refuses its calls; before, it waited 0.4 s for a record that nobody wrote.

Tests: with real processes, before the change test_departure_outlasts_a_kill_while_the_store_turns_the_node_away failed for a leave and for a drain (3 late requests ran), and test_departure_without_a_record_is_not_acknowledged failed (200 != 503). The stand-in of the store can turn away single nodes for that.

Paths read for the same cause: leave notices and draining reports at a running node, at one that stops and at one without a report; the end of a record's lease; the replacement of the entry by that of a next upstream.

--- a/flamingolug/gateway/_announcer.py
+++ b/flamingolug/gateway/_announcer.py
@@ -12,7 +12,9 @@
 from flamingolug import telemetry
 from flamingolug import timing
 from flamingolug.gateway import _backoff
+from flamingolug.gateway import _departure_records
 from flamingolug.gateway import _directory
+from flamingolug.gateway import _held_lease
 from flamingolug.gateway import _model
 from flamingolug.gateway import _tasks
 
@@ -23,12 +25,6 @@
 LEASE_TTL_S = 8.0
 #: Seconds between renewals: two may fail before the lease ends.
 RENEWAL_INTERVAL_S = 2.5
-#: Time to live of the entry of an upstream that leaves or has left, seconds. A
-#: restarted node recognises delayed reports of that upstream by it; they arrive
-#: within this time.
-DEPARTURE_TTL_S = 60.0
-#: Seconds between renewals of that lease.
-DEPARTURE_RENEWAL_S = 20.0
 
 
 class Dependencies(NamedTuple):
@@ -43,59 +39,6 @@
     revision_of: Callable[[str], int]
 
 
-class _HeldLease:
-    """A lease that is granted when it is first needed, and renewed when due."""
-
-    def __init__(
-        self, deps: Dependencies, ttl_s: float, renewal_interval_s: float
-    ) -> None:
-        """Creates a holder without a lease."""
-        #: Number of the lease, 0 for none.
-        self.number = 0
-        self._deps = deps
-        self._ttl_s = ttl_s
-        self._renewal_interval_s = renewal_interval_s
-        self._renewed_at = 0.0
-
-    @property
-    def age_s(self) -> float:
-        """Seconds since the lease was granted or renewed."""
-        return self._deps.timers.now() - self._renewed_at
-
-    def hold(self) -> int:
-        """Returns the lease, granted or renewed if necessary.
-
-        Raises:
-            LeaseLostError: the lease has ended.
-            StoreError: the call failed.
-        """
-        now = self._deps.timers.now()
-        if not self.number:
-            ttl_s = max(self._ttl_s, self._deps.cfg.min_lease_s)
-            self.number = self._deps.store.grant_lease(ttl_s)
-            self._renewed_at = now
-        # Nine tenths: a slightly early wake-up does not skip a renewal.
-        elif self.age_s > self._renewal_interval_s * 0.9:
-            self._deps.store.renew_lease(self.number)
-            self._renewed_at = now
-        return self.number
-
-    def end(self) -> None:
-        """Ends the lease in the store, which removes its entries.
-
-        Raises:
-            LeaseLostError: the lease has ended already.
-            StoreError: the call failed.
-        """
-        if self.number:
-            self._deps.store.end_lease(self.number)
-            self.forget()
-
-    def forget(self) -> None:
-        """Lets the lease lapse; the next use grants another one."""
-        self.number = 0
-
-
 class Announcer:
     """Writes the upstream's entry when it changes and renews its lease."""
 
@@ -105,11 +48,12 @@
         self._wake = event.Event()
         self._task: gevent.Greenlet[[], None] | None = None
         #: Lease of the entry of an upstream in use.
-        self._ready_lease = _HeldLease(deps, LEASE_TTL_S, RENEWAL_INTERVAL_S)
+        self._ready_lease = self._new_lease(LEASE_TTL_S, RENEWAL_INTERVAL_S)
         #: Lease of the entry of an upstream that is leaving or has left; it
         #: outlasts the node.
-        self._departure_lease = _HeldLease(
-            deps, DEPARTURE_TTL_S, DEPARTURE_RENEWAL_S
+        self._departure_lease = self._new_lease(
+            _departure_records.RECORD_TTL_S,
+            _departure_records.RENEWAL_INTERVAL_S,
         )
         #: Entry as written last, None if it has to be written.
         self._written: _model.Upstream | None = None
@@ -123,6 +67,16 @@
         #: Set when the entry in the store is up to date.
         self._published = event.Event()
 
+    def _new_lease(
+        self, ttl_s: float, renewal_interval_s: float
+    ) -> _held_lease.HeldLease:
+        return _held_lease.HeldLease(
+            self._deps.store,
+            self._deps.timers,
+            max(ttl_s, self._deps.cfg.min_lease_s),
+            renewal_interval_s,
+        )
+
     def start(self) -> None:
         """Starts to write the entry and renew its lease."""
         self._task = _tasks.spawn("announcement", self._run)
@@ -135,34 +89,27 @@
     @property
     def has_unwritten_departure(self) -> bool:
         """Whether the upstream is leaving and the store does not say so."""
-        desired = self._make_entry()
+        desired = self.make_entry()
         if desired is None or desired.state is _model.UpstreamState.READY:
             return False
         return not self._is_written(desired)
 
-    def has_departure(self, upstream_id: str) -> bool:
-        """Returns whether the store says that an upstream leaves."""
+    def has_departure(self, departed: _model.Upstream) -> bool:
+        """Returns whether this node has recorded a departure in the store."""
         written = self._written
-        if written is None or written.id != upstream_id:
-            return False
-        if written.state is _model.UpstreamState.READY:
-            return False
-        return not self.has_unwritten_departure
+        return written is not None and _departure_records.is_departed(
+            written, departed
+        )
 
-    def publish(self, wait_s: float = 0.0) -> bool:
+    def publish(self) -> event.Event:
         """Requests a write of the entry.
 
-        Args:
-            wait_s: how long to wait for the write, 0 for not at all.
-
         Returns:
-            Whether the entry in the store was up to date within that time.
+            An event that is set when the entry in the store is up to date.
         """
         self._published.clear()
         self._wake.set()
-        if wait_s <= 0.0:
-            return False
-        return bool(self._published.wait(wait_s))
+        return self._published
 
     def on_removed(self, key: str) -> None:
         """Requests another write if the removed key is this node's entry."""
@@ -180,7 +127,8 @@
         self._withdrawn = True
         self._wake.set()
 
-    def _make_entry(self) -> _model.Upstream | None:
+    def make_entry(self) -> _model.Upstream | None:
+        """Returns the entry of the upstream, None if it has not reported."""
         report = self._deps.report()
         if report is None:
             return None
@@ -240,7 +188,7 @@
 
     def _update_store(self) -> None:
         """Writes a changed entry, or removes it; renews its lease when due."""
-        desired = self._make_entry()
+        desired = self.make_entry()
         if desired is None:
             return
         if desired.state is not _model.UpstreamState.READY:
@@ -256,7 +204,7 @@
         if not self._is_written(desired):
             self._write(desired, lease.number)
         unused.forget()
-        current = self._make_entry()
+        current = self.make_entry()
         # The upstream may have reported again during the calls.
         if current is not None and self._is_written(current):
             self._published.set()
--- a/flamingolug/gateway/_control_server.py
+++ b/flamingolug/gateway/_control_server.py
@@ -4,21 +4,25 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+import gevent
+
 from flamingolug import http1
 from flamingolug import telemetry
 from flamingolug.gateway import _announcer
 from flamingolug.gateway import _configuration_watcher
+from flamingolug.gateway import _departure_records
 from flamingolug.gateway import _directory
 from flamingolug.gateway import _gate
 from flamingolug.gateway import _metrics
 from flamingolug.gateway import _model
 
 _LOGGER = logging.getLogger(__name__)
-#: Longest delay, in seconds, of the response to a leave notice, or to a report
-#: of a draining backend server, until the announcement is in the store, where
-#: other nodes can read it; well below the one second after which the notice or
-#: report is treated as failed.
-PUBLISH_WAIT_S = 0.4
+#: Seconds for which the response to a leave notice, or to a report of a
+#: draining backend server, waits until this node has written the record.
+OWN_RECORD_WAIT_S = 0.25
+#: Further seconds in which other nodes may write it. The sum is below the one
+#: second after which the notice or report is treated as failed.
+PEER_RECORD_WAIT_S = 0.55
 #: Seconds for which a report waits at most, if the gate has none yet, until the
 #: directory has been read from the store; an entry of an earlier incarnation
 #: there shows whether the report is outdated.
@@ -44,6 +48,7 @@
     watcher: _configuration_watcher.ConfigurationWatcher
     directory: _directory.Directory
     announcer: _announcer.Announcer
+    records: _departure_records.DepartureRecords
     metrics: _metrics.Metrics
     decoder: ReportDecoder
     #: Path of the readiness check.
@@ -137,28 +142,34 @@
         return 200
 
     def _acknowledge_departure(self, upstream_id: str) -> int:
-        """Waits until the store has the departure; returns a response status.
+        """Waits for the record of a departure; returns a response status.
 
-        A stopping node does not acknowledge one that is not in the store, since
-        the next process would not know of it. The backend server repeats its
+        Without a record, a process that starts later would not know of the
+        departure, so it is not acknowledged. The backend server repeats its
         notice then.
         """
         deps = self._deps
         announcer = deps.announcer
-        if announcer.has_departure(upstream_id):
+        departed = announcer.make_entry()
+        if departed is None or departed.id != upstream_id:
+            # Another upstream has its address and refuses its calls.
+            return 200
+        if announcer.has_departure(departed):
+            return 200
+        written = announcer.publish()
+        if written.wait(OWN_RECORD_WAIT_S):
             return 200
-        announcer.publish(PUBLISH_WAIT_S)
-        if announcer.has_departure(upstream_id):
+        confirmed = deps.records.ask_peers(departed, PEER_RECORD_WAIT_S)
+        if gevent.wait([written, confirmed], PEER_RECORD_WAIT_S, 1):
             return 200
-        refused = deps.stopping()
         telemetry.event(
             _LOGGER,
-            "announcement.late",
+            "departure.not_acknowledged",
+            level=logging.WARNING,
             upstream=upstream_id,
-            wait_s=PUBLISH_WAIT_S,
-            refused=refused,
+            wait_s=OWN_RECORD_WAIT_S + PEER_RECORD_WAIT_S,
         )
-        return 503 if refused else 200
+        return 503
 
     def _is_outdated(self, report: _model.Report) -> bool:
         """Returns whether the directory has a later state than a report.
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -264,6 +264,10 @@
         self._all_by_zone()
         return self._upstream_counts
 
+    def node_addresses(self) -> list[tuple[str, int]]:
+        """Returns the addresses for links of the nodes that have an entry."""
+        return list(self._keys_by_address)
+
     def node_count(self) -> int:
         """Returns the number of nodes that have an entry."""
         return len(self._keys_by_address)
--- a/flamingolug/gateway/_frames.py
+++ b/flamingolug/gateway/_frames.py
@@ -145,6 +145,25 @@
     entries: list[EntryFrame]
 
 
+class DepartureRequest(msgspec.Struct, array_like=True, tag=11, frozen=True):
+    """Requests that the receiver records a departure in the store."""
+
+    #: Number of the request, unique in the sender's process.
+    number: int
+    #: The entry of the upstream that leaves or has left, as it is stored.
+    key: str
+    value: bytes
+
+
+class DepartureConfirmation(
+    msgspec.Struct, array_like=True, tag=12, frozen=True
+):
+    """Tells that the record of a departure is in the store."""
+
+    #: Number of the request.
+    number: int
+
+
 Frame = (
     Hello
     | CallFrame
@@ -156,6 +175,8 @@
     | ConfigurationFrame
     | EntriesRequest
     | EntriesFrame
+    | DepartureRequest
+    | DepartureConfirmation
 )
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Frame)
--- /dev/null
+++ b/flamingolug/gateway/_held_lease.py
@@ -0,0 +1,68 @@
+"""A lease of the store that a task holds."""
+
+from flamingolug import store
+from flamingolug import timing
+
+
+class HeldLease:
+    """A lease that is granted when it is first needed, and renewed when due."""
+
+    def __init__(
+        self,
+        leased_store: store.LeasedStore,
+        timers: timing.Timers,
+        ttl_s: float,
+        renewal_interval_s: float,
+    ) -> None:
+        """Creates a holder without a lease.
+
+        Args:
+            leased_store: grants and renews the lease.
+            timers: clock.
+            ttl_s: time to live after the last renewal, seconds.
+            renewal_interval_s: seconds after which a use renews the lease.
+        """
+        #: Number of the lease, 0 for none.
+        self.number = 0
+        self._store = leased_store
+        self._timers = timers
+        self._ttl_s = ttl_s
+        self._renewal_interval_s = renewal_interval_s
+        self._renewed_at = 0.0
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the lease was granted or renewed."""
+        return self._timers.now() - self._renewed_at
+
+    def hold(self) -> int:
+        """Returns the lease, granted or renewed if necessary.
+
+        Raises:
+            LeaseLostError: the lease has ended.
+            StoreError: the call failed.
+        """
+        now = self._timers.now()
+        if not self.number:
+            self.number = self._store.grant_lease(self._ttl_s)
+            self._renewed_at = now
+        # Nine tenths: a slightly early wake-up does not skip a renewal.
+        elif self.age_s > self._renewal_interval_s * 0.9:
+            self._store.renew_lease(self.number)
+            self._renewed_at = now
+        return self.number
+
+    def end(self) -> None:
+        """Ends the lease in the store, which removes its entries.
+
+        Raises:
+            LeaseLostError: the lease has ended already.
+            StoreError: the call failed.
+        """
+        if self.number:
+            self._store.end_lease(self.number)
+            self.forget()
+
+    def forget(self) -> None:
+        """Lets the lease lapse; the next use grants another one."""
+        self.number = 0
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -120,6 +120,13 @@
     entries: Callable[[int], list[store.Item]]
     #: Handles directory entries from a peer.
     on_entries: Callable[[list[store.Item]], None]
+    #: Records the departure of a peer's upstream; calls the second argument
+    #: once it is in the store.
+    on_departure_request: Callable[
+        [_frames.DepartureRequest, Callable[[], object]], None
+    ]
+    #: Handles the number of a request whose departure a peer has recorded.
+    on_departure_confirmation: Callable[[int], None]
 
 
 class FrameConnection:
@@ -365,9 +372,18 @@
 
     def _unreachable(self) -> errors.PeerUnreachableError:
         return errors.PeerUnreachableError(
-            "link is not available", step="link.call", peer=self.peer
+            "link is not available", step="link.send", peer=self.peer
         )
 
+    def send(self, frame: _frames.Frame) -> None:
+        """Sends a frame that is no call.
+
+        Raises:
+            PeerUnreachableError: the frame was not sent to the peer.
+        """
+        if self._connection is None or not self._connection.send(frame):
+            raise self._unreachable()
+
     def cancel(self, pending: PendingCall) -> None:
         """Notifies the peer that the result of a call is not awaited."""
         if self.pending.pop(pending.number, None) is None:
@@ -512,6 +528,13 @@
         ]
         connection.send(_frames.EntriesFrame(entries))
         return
+    if isinstance(frame, _frames.DepartureRequest):
+        confirmation = _frames.DepartureConfirmation(frame.number)
+        deps.on_departure_request(frame, lambda: connection.send(confirmation))
+        return
+    if isinstance(frame, _frames.DepartureConfirmation):
+        deps.on_departure_confirmation(frame.number)
+        return
     if isinstance(frame, _frames.EntriesFrame):
         deps.on_entries(
             [
--- a/flamingolug/gateway/_metrics.py
+++ b/flamingolug/gateway/_metrics.py
@@ -16,6 +16,7 @@
 LINKS_LOST = "flamingolug.links.lost"
 CUT_REQUESTS = "flamingolug.entry.requests.cut"
 UNDELIVERED = "flamingolug.entry.connections.undelivered"
+DEPARTURE_REQUESTS = "flamingolug.departures.passed_on"
 DURATION = "flamingolug.entry.duration"
 #: Upper bounds of the latency histogram in seconds; two buckets per doubling
 #: around the usual latency targets.
@@ -43,6 +44,11 @@
         counters.declare(
             UNDELIVERED, "Connections closed with unconfirmed output", "reason"
         )
+        counters.declare(
+            DEPARTURE_REQUESTS,
+            "Records that other nodes were to write",
+            "result",
+        )
         self._buckets = [0] * (len(BUCKETS_S) + 1)
         self._sum_s = 0.0
 
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -10,6 +10,7 @@
 from flamingolug.gateway import _announcer
 from flamingolug.gateway import _configuration_watcher
 from flamingolug.gateway import _control_server
+from flamingolug.gateway import _departure_records
 from flamingolug.gateway import _directory
 from flamingolug.gateway import _entry
 from flamingolug.gateway import _environment
@@ -132,6 +133,11 @@
     def directory() -> _directory.Directory:
         return parts.get("gateway.directory", _directory.Directory)
 
+    def records() -> _departure_records.DepartureRecords:
+        return parts.get(
+            "gateway.departure-records", _departure_records.DepartureRecords
+        )
+
     def on_status(
         address: tuple[str, int], upstream_id: str, load: _model.LoadReport
     ) -> None:
@@ -152,6 +158,8 @@
         lambda: directory().complete_revision,
         lambda after: directory().entries(after),
         lambda items: directory().merge_from_peer(items),
+        lambda request, confirm: records().handle_request(request, confirm),
+        lambda number: records().handle_confirmation(number),
     )
 
 
@@ -191,6 +199,31 @@
     )
 
 
+@kernel.plugin(
+    "gateway.departure-records",
+    ("gateway.directory", "gateway.links", "gateway.random"),
+    PROGRAM,
+)
+def _build_departure_records(parts: kernel.Kernel) -> object:
+    cfg = _settings(parts)
+    directory = parts.get("gateway.directory", _directory.Directory)
+
+    def peers() -> list[tuple[str, int]]:
+        return [each for each in directory.node_addresses() if each != cfg.link]
+
+    return _departure_records.DepartureRecords(
+        _departure_records.Dependencies(
+            _store(parts),
+            _timers(parts),
+            _rng(parts),
+            parts.get("gateway.links", _link.Links),
+            _metrics_of(parts),
+            peers,
+            cfg.min_lease_s,
+        )
+    )
+
+
 @kernel.plugin(
     "gateway.announcer", ("gateway.directory", "gateway.gate"), PROGRAM
 )
@@ -283,7 +316,13 @@
 
 @kernel.plugin(
     "gateway.service",
-    ("gateway.gate", "gateway.holder", "gateway.announcer", "gateway.handler"),
+    (
+        "gateway.gate",
+        "gateway.holder",
+        "gateway.announcer",
+        "gateway.departure-records",
+        "gateway.handler",
+    ),
     PROGRAM,
 )
 def _build_control_server(parts: kernel.Kernel) -> object:
@@ -298,6 +337,9 @@
             ),
             parts.get("gateway.directory", _directory.Directory),
             parts.get("gateway.announcer", _announcer.Announcer),
+            parts.get(
+                "gateway.departure-records", _departure_records.DepartureRecords
+            ),
             _metrics_of(parts),
             environment.report_decoder,
             environment.ready_path,
--- a/flamingolug/gateway/tests/test_announcer.py
+++ b/flamingolug/gateway/tests/test_announcer.py
@@ -17,6 +17,7 @@
 from flamingolug import errors
 from flamingolug import store
 from flamingolug.gateway import _announcer
+from flamingolug.gateway import _departure_records
 from flamingolug.gateway import _directory
 from flamingolug.gateway import _model
 
@@ -114,7 +115,7 @@
     def announce(self, kv: _Store, known_revision: int) -> list[str]:
         """Announces an upstream; returns the reads and writes made."""
         announcer = self.start_announcer(kv, known_revision)
-        self.assertTrue(announcer.publish(2.0))
+        self.assertTrue(announcer.publish().wait(2.0))
         return kv.calls
 
     def test_first_announcement_needs_no_read(self) -> None:
@@ -155,24 +156,26 @@
         self.leave(_model.UpstreamState.DRAINING)
         # The write of the ready state succeeds, the next one hangs.
         gevent.spawn_later(0.02, allowed.release)
-        self.assertFalse(announcer.publish(0.1))
+        self.assertFalse(announcer.publish().wait(0.1))
         self.assertEqual(kv.calls, ["write", "write"])
         allowed.release()
-        self.assertTrue(announcer.publish(0.1))
+        self.assertTrue(announcer.publish().wait(0.1))
 
     # Guards against a departure that a stopping node does not write.
     def test_departure_is_written_after_the_entry_was_withdrawn(self) -> None:
         kv = _Store(0)
         announcer = self.start_announcer(kv)
-        announcer.publish(0.1)
+        announcer.publish().wait(0.1)
         announcer.withdraw()
         gevent.sleep(0.01)
         self.assertEqual(kv.ended_leases, [1])
         self.leave(_model.UpstreamState.GONE)
         self.assertTrue(announcer.has_unwritten_departure)
-        self.assertTrue(announcer.publish(0.1))
-        self.assertTrue(announcer.has_departure("u1"))
-        self.assertFalse(announcer.has_departure("u2"))
+        self.assertTrue(announcer.publish().wait(0.1))
+        departed = announcer.make_entry()
+        assert departed is not None
+        self.assertTrue(announcer.has_departure(departed))
+        self.assertFalse(announcer.has_departure(departed._replace(id="u2")))
 
     # Guards against a record that is removed with the lease of the node.
     def test_departure_has_a_lease_of_its_own(self) -> None:
@@ -184,12 +187,14 @@
                 self.setUp()
                 kv = _Store(0)
                 announcer = self.start_announcer(kv)
-                announcer.publish(0.1)
+                announcer.publish().wait(0.1)
                 self.leave(state)
-                announcer.publish(0.1)
+                announcer.publish().wait(0.1)
                 announcer.withdraw()
                 gevent.sleep(0.01)
-                self.assertEqual(kv.granted_s[-1], _announcer.DEPARTURE_TTL_S)
+                self.assertEqual(
+                    kv.granted_s[-1], _departure_records.RECORD_TTL_S
+                )
                 self.assertEqual(kv.write_leases, [1, 2])
                 self.assertNotIn(2, kv.ended_leases)
 
--- a/flamingolug/platform/tests/deployment.py
+++ b/flamingolug/platform/tests/deployment.py
@@ -16,9 +16,10 @@
 from flamingolug_standins import leased_store
 from flamingolug_standins import sealing_server
 
-#: Numbers of the hosts in this process. The loopback address of host N is
-#: 127.0.0.(N + 10).
+#: Numbers of the hosts in this process.
 _HOSTS = itertools.count(1)
+#: Loopback addresses that differ in the last number only.
+_HOSTS_PER_NET = 200
 #: Offsets of the listening ports from `_BASE_PORT`.
 _OUTBOUND = 21
 _READY = 22
@@ -33,6 +34,12 @@
 MAX_WAIT_S = 20.0
 
 
+def next_host() -> str:
+    """Returns a loopback address that this process has not used yet."""
+    net, number = divmod(next(_HOSTS), _HOSTS_PER_NET)
+    return f"127.0.{net}.{number + 10}"
+
+
 def wait_until(condition: Callable[[], bool], what: str) -> None:
     """Waits until a condition holds.
 
@@ -53,7 +60,7 @@
         self, service: str, store: tuple[str, int], zone: str, grace_s: float
     ) -> None:
         """Starts the node and the backend server."""
-        self.host = f"127.0.0.{next(_HOSTS) + 10}"
+        self.host = next_host()
         self.settings = gateway.GatewaySettings(
             identity=gateway.NodeIdentity(
                 f"node-{self.host}", zone, self.host, service
@@ -122,9 +129,7 @@
         grace_s: float = 6.0,
     ) -> None:
         """Starts the store and all instances; waits until they are ready."""
-        self.store = leased_store.LeasedStore(
-            f"127.0.0.{next(_HOSTS) + 10}", _BASE_PORT + _STORE
-        )
+        self.store = leased_store.LeasedStore(next_host(), _BASE_PORT + _STORE)
         # `GateTest` expects this version in status frames.
         self.store.put("op/config", documents.make_document(3, routes))
         self.instances = [
--- a/flamingolug/platform/tests/processes.py
+++ b/flamingolug/platform/tests/processes.py
@@ -65,8 +65,11 @@
         accept_s: float = ACCEPT_S,
         grace_s: float = GRACE_S,
     ) -> None:
-        """Starts the node and its server; waits until it serves."""
-        self.host = f"127.0.0.{next(deployment._HOSTS) + 10}"
+        """Starts the node and its server; waits until it serves.
+
+        The node calls the store at an address of its own (`store_address`).
+        """
+        self.host = deployment.next_host()
         base = deployment._BASE_PORT
         self.outbound = (self.host, base + deployment._OUTBOUND)
         self.link = (self.host, base + _LINK)
@@ -77,7 +80,11 @@
         )
         self._directory = tempfile.TemporaryDirectory()
         path = pathlib.Path(self._directory.name) / "node.toml"
-        store = test_deployment.store.address
+        store_host = deployment.next_host()
+        test_deployment.store.listen_at(store_host)
+        store_port = test_deployment.store.address[1]
+        #: HOST:PORT at which this node calls the store.
+        self.store_address = f"{store_host}:{store_port}"
         path.write_text(
             _SETTINGS_TEMPLATE.format(
                 host=self.host,
@@ -89,7 +96,7 @@
                 outbound=self.outbound[1],
                 ready=self._ready[1],
                 control=control[1],
-                store=f"{store[0]}:{store[1]}",
+                store=self.store_address,
             )
         )
         self._environment = os.environ | {platform.SETTINGS_VARIABLE: str(path)}
@@ -101,13 +108,23 @@
 
     def start(self) -> None:
         """Starts the process; waits until it is ready."""
+        self.start_without_configuration()
+        deployment.wait_until(self._is_ready, "the node process is ready")
+
+    def start_without_configuration(self) -> None:
+        """Starts the process; waits until its listening sockets are open."""
         self.process = subprocess.Popen(
             [sys.executable, "-c", _PROGRAM, str(self._accept_s)],
             env=self._environment,
             stdout=subprocess.DEVNULL,
             stderr=subprocess.DEVNULL,
         )
-        deployment.wait_until(self._is_ready, "the node process is ready")
+        deployment.wait_until(self._listens, "the node process listens")
+
+    def kill(self) -> None:
+        """Kills the process; waits until it has ended."""
+        self.process.kill()
+        self.process.wait()
 
     def stop(self) -> None:
         """Sends SIGTERM."""
@@ -135,6 +152,14 @@
         except OSError:
             return False
 
+    def _listens(self) -> bool:
+        """Returns whether the socket that is opened last accepts."""
+        try:
+            Caller(self.outbound).close()
+        except OSError:
+            return False
+        return True
+
     def _serves(self) -> bool:
         request_id = f"probe-{time.monotonic()}"
         return ask_once(self.outbound, b"/read/x", request_id) == 200
@@ -163,7 +188,11 @@
                 receive_buffer,
             )
         sock.settimeout(5.0)
-        sock.connect(address)
+        try:
+            sock.connect(address)
+        except OSError:
+            sock.close()
+            raise
         sock.settimeout(None)
         self.sent_ids: list[str] = []
         self.sent_at: dict[str, float] = {}
--- a/flamingolug/platform/tests/test_departures.py
+++ b/flamingolug/platform/tests/test_departures.py
@@ -1,5 +1,6 @@
 """Departures of upstreams that a node acknowledges, across its restart."""
 
+import functools
 import time
 import unittest
 
@@ -34,6 +35,10 @@
         self.front.wait()
         self.front.start()
 
+    def turn_away(self) -> None:
+        """Makes the store answer 503 to this node, and to no other one."""
+        self.deployment.store.turned_away.add(self.front.store_address)
+
     def assert_late_report_has_no_effect(self, report: bytes) -> None:
         self.front.server.post("heartbeat", report)
         # The entry would be in the store, and calls would be accepted.
@@ -85,8 +90,48 @@
         self.front.stop()
         self.restart()
         self.assertEqual(self.front.server.deregister(), 200)
-        self.front.process.kill()
-        self.restart()
+        self.front.kill()
+        self.front.start()
+        self.assert_late_report_has_no_effect(report)
+
+    # Guards against a departure that a running node acknowledges though it is
+    # known in its memory only, and that its kill forgets.
+    def test_departure_outlasts_a_kill_while_the_store_turns_the_node_away(
+        self,
+    ) -> None:
+        leave = self.front.server.deregister
+        drain = functools.partial(self.front.server.report, "draining")
+        for depart in (leave, drain):
+            with self.subTest(depart):
+                report = self.make_late_report()
+                self.turn_away()
+                self.assertEqual(depart(), 200)
+                self.front.kill()
+                self.deployment.store.turned_away.clear()
+                self.front.start()
+                self.assert_late_report_has_no_effect(report)
+                self.front.server.start_time_ms += 60_000
+                self.assertEqual(self.front.server.report("ready"), 200)
+
+    # Guards against an acknowledgement without a record, while the store
+    # answers no node.
+    def test_departure_without_a_record_is_not_acknowledged(self) -> None:
+        report = self.make_late_report()
+        for silent in (False, True):
+            self.deployment.store.down = not silent
+            self.deployment.store.silent = silent
+            self.assertEqual(self.front.server.deregister(), 503)
+            # Unacknowledged, it is in force at the node that knows of it.
+            self.assertNotEqual(
+                processes.ask_once(self.front.outbound, b"/read/x", "x"), 200
+            )
+        self.deployment.store.silent = False
+        deployment.wait_until(
+            lambda: self.front.server.deregister() == 200,
+            "the leave is acknowledged once the store answers",
+        )
+        self.front.kill()
+        self.front.start()
         self.assert_late_report_has_no_effect(report)
 
     # Guards against an acknowledgement that the next process can't know of.
@@ -110,7 +155,7 @@
     def test_stop_waits_for_a_departure_that_is_not_yet_written(self) -> None:
         report = self.make_late_report()
         self.deployment.store.down = True
-        self.assertEqual(self.front.server.deregister(), 200)
+        self.assertEqual(self.front.server.deregister(), 503)
         self.front.stop()
         gevent.sleep(_ACCEPT_S + 0.5)
         self.deployment.store.down = False
--- a/flamingolug/platform/tests/test_deployment.py
+++ b/flamingolug/platform/tests/test_deployment.py
@@ -316,7 +316,8 @@
 
     def test_drain_takes_effect_while_the_store_is_down(self) -> None:
         self.deployment.store.down = True
-        self.assertEqual(self.shelf.server.report("draining"), 200)
+        # Not acknowledged, since no record can be written.
+        self.assertEqual(self.shelf.server.report("draining"), 503)
         before = len(self.shelf.server.received_requests)
         deployment.send_request(self.front, "read", "o1")
         self.assertEqual(len(self.shelf.server.received_requests), before)
--- a/flamingolug/platform/tests/test_foreign_bytes.py
+++ b/flamingolug/platform/tests/test_foreign_bytes.py
@@ -207,7 +207,7 @@
 class StoreTest(unittest.TestCase):
     # Guards against a response of another form that ends the task that reads.
     def test_response_of_another_form_counts_as_unavailable(self) -> None:
-        host = f"127.0.0.{next(deployment._HOSTS) + 10}"
+        host = deployment.next_host()
         bodies = {
             "no object": b"[]",
             "no fields": b"{}",
@@ -262,7 +262,7 @@
             sock.sendall(data)
             gevent.sleep(60.0)
 
-        host = f"127.0.0.{next(deployment._HOSTS) + 10}"
+        host = deployment.next_host()
         server = gevent_server.StreamServer((host, 0), serve)
         server.start()
         self.addCleanup(server.stop)
--- a/flamingolug/platform/tests/test_lost_responses.py
+++ b/flamingolug/platform/tests/test_lost_responses.py
@@ -83,7 +83,7 @@
 
 class ClientTest(unittest.TestCase):
     def setUp(self) -> None:
-        host = f"127.0.0.{next(deployment._HOSTS) + 10}"
+        host = deployment.next_host()
         self.store = leased_store.LeasedStore(host, deployment._BASE_PORT + 26)
         self.addCleanup(self.store.stop)
         self.client = _store.PlatformStore(
--- a/flamingolug_standins/leased_store.py
+++ b/flamingolug_standins/leased_store.py
@@ -28,6 +28,9 @@
 
     Attributes:
         down: requests are answered with 503.
+        turned_away: addresses of this store, as HOST:PORT, at which requests
+            are answered with 503, so that nodes that use another address are
+            served.
         silent: responses are lost while it is set; requests have no effect.
         lose_watches: responses to watches are lost while it is set.
         lose_answers: POST requests take effect and are not answered while it
@@ -47,6 +50,7 @@
             history: maximum number of changes that are kept for watches.
         """
         self.down = False
+        self.turned_away: set[str] = set()
         self.silent = False
         self.lose_watches = False
         self.lost_responses = 0
@@ -67,12 +71,9 @@
         #: get 410.
         self._first_revision = 0
         self._changed = event.Event()
-        self._server = gevent_server.StreamServer(
-            http1.listen(host, port),
-            lambda sock, peer: http1.serve_connection(sock, peer, self._handle),
-        )
-        self._server.start()
+        self._servers: list[gevent_server.StreamServer] = []
         self._address = (host, port)
+        self.listen_at(host)
         self._expiry_task = gevent.spawn(self._expire_leases)
 
     @property
@@ -86,7 +87,17 @@
         Open connections are still served.
         """
         self._expiry_task.kill()
-        self._server.stop(timeout=0)
+        for server in self._servers:
+            server.stop(timeout=0)
+
+    def listen_at(self, host: str) -> None:
+        """Listens on a further host, at the same port."""
+        server = gevent_server.StreamServer(
+            http1.listen(host, self._address[1]),
+            lambda sock, peer: http1.serve_connection(sock, peer, self._handle),
+        )
+        server.start()
+        self._servers.append(server)
 
     def put(self, key: str, value: bytes) -> None:
         """Writes a key without a lease, as an operator does."""
@@ -119,7 +130,7 @@
             self._lose_response()
         if self.delay_s:
             gevent.sleep(self.delay_s)
-        if self.down:
+        if self._is_rejected(req):
             return 503, [], b""
         args = dict(parse.parse_qsl(query))
         body = msgspec.json.decode(req.body) if req.body else {}
@@ -128,8 +139,13 @@
             gevent.sleep(0.05)
         if self.silent or (self.lose_watches and path == _WATCH_PATH):
             self._lose_response()
+        if self._is_rejected(req) and path == _WATCH_PATH:
+            return 503, [], b""
         return response
 
+    def _is_rejected(self, req: http1.Request) -> bool:
+        return self.down or req.header(b"host").decode() in self.turned_away
+
     def _lose_response(self) -> NoReturn:
         """Never returns, so that the connection returns nothing further."""
         self.lost_responses += 1
