Accept a report only when it is known who has left; keep records of departures

Cause: a report was accepted after 0.5 s whether or not anything was known of the upstream, and was never checked again. The announcer then replaced the record, whose revision it took as the condition of its write. Ruled out: the end of the record's lease.

Change: a report needs entries from the store, or from a peer that has read it; else the answer is 503, and the report counts once they come. Peers send departures too, and linked nodes hear of one at once. A record that is found later ends the use of the upstream at its own gate, and an entry in state ready never replaces the record of its incarnation. To wait for the store alone was weighed: a planned restart of all nodes while the store is away would stop every service.

Paths read for the same cause: leave notices and draining reports (they only end use), configurations and entries from peers, calls before the first report; writes over a record by the announcer, by nodes that write for each other, and by the removal of the former upstream's entry.

--- a/flamingolug/gateway/_announcer.py
+++ b/flamingolug/gateway/_announcer.py
@@ -13,6 +13,7 @@
 from flamingolug import timing
 from flamingolug.gateway import _backoff
 from flamingolug.gateway import _departure_records
+from flamingolug.gateway import _departures
 from flamingolug.gateway import _directory
 from flamingolug.gateway import _held_lease
 from flamingolug.gateway import _model
@@ -35,8 +36,11 @@
     timers: timing.Timers
     #: Returns the last report of the backend server, None without one.
     report: Callable[[], _model.Report | None]
-    #: Returns the revision of an entry that the directory has, 0 for none.
-    revision_of: Callable[[str], int]
+    #: Returns the entry of a key that the directory has, None without one.
+    find_entry: Callable[[str], _directory.DirectoryEntry | None]
+    #: Handles an entry which says that the upstream in use leaves, or which
+    #: belongs to a later incarnation.
+    on_departure: Callable[[_model.Upstream], None]
 
 
 class Announcer:
@@ -52,7 +56,7 @@
         #: Lease of the entry of an upstream that is leaving or has left; it
         #: outlasts the node.
         self._departure_lease = self._new_lease(
-            _departure_records.RECORD_TTL_S,
+            _departures.DEPARTURE_TTL_S,
             _departure_records.RENEWAL_INTERVAL_S,
         )
         #: Entry as written last, None if it has to be written.
@@ -97,7 +101,7 @@
     def has_departure(self, departed: _model.Upstream) -> bool:
         """Returns whether this node has recorded a departure in the store."""
         written = self._written
-        return written is not None and _departure_records.is_departed(
+        return written is not None and _departures.is_departed(
             written, departed
         )
 
@@ -212,7 +216,13 @@
     def _write(self, desired: _model.Upstream, lease: int) -> None:
         key = _directory.PREFIX + desired.id
         value = _directory.encode_entry(desired)
-        revision = self._find_revision(key)
+        stored, revision = self._find_stored(key)
+        is_ready = desired.state is _model.UpstreamState.READY
+        if is_ready and stored and _departures.is_departed(stored, desired):
+            # An earlier process of this node has acknowledged the departure.
+            self._deps.on_departure(stored)
+            self._wake.set()
+            return
         deletes: list[str] = []
         written = self._written
         gone = _model.UpstreamState.GONE
@@ -234,18 +244,25 @@
             lease=lease,
         )
 
-    def _find_revision(self, key: str) -> int:
-        """Returns the revision that a write of an entry has to expect.
+    def _find_stored(self, key: str) -> tuple[_model.Upstream | None, int]:
+        """Returns the entry in the store and its revision, 0 for none.
+
+        The entry is None too if this node has written it.
 
         The first write of a node expects what the directory has, which saves a
         call to the store for each node that starts. If that is outdated, the
-        write conflicts and the next one reads the revision.
+        write conflicts and the next one reads the entry.
         """
         revision = self._revisions.get(key)
         if revision is not None:
-            return revision
+            return None, revision
         if key not in self._attempted_keys:
             self._attempted_keys.add(key)
-            return self._deps.revision_of(key)
-        page = self._deps.store.read(key)
-        return page.items[0].revision if page.items else 0
+            entry = self._deps.find_entry(key)
+            return (entry.upstream, entry.revision) if entry else (None, 0)
+        items = self._deps.store.read(key).items
+        if not items:
+            return None, 0
+        value = items[0].value
+        stored = _directory.decode_entry(key, value) if value else None
+        return stored, items[0].revision
--- a/flamingolug/gateway/_control_server.py
+++ b/flamingolug/gateway/_control_server.py
@@ -24,9 +24,9 @@
 #: second after which the notice or report is treated as failed.
 PEER_RECORD_WAIT_S = 0.55
 #: Seconds for which a report waits at most, if the gate has none yet, until the
-#: directory has been read from the store; an entry of an earlier incarnation
-#: there shows whether the report is outdated.
-SYNC_WAIT_S = 0.5
+#: node knows the entries; that of the upstream shows whether the report is
+#: outdated.
+ENTRIES_WAIT_S = 0.5
 
 
 class ReportDecoder(NamedTuple):
@@ -125,15 +125,39 @@
             return 400
         known = deps.gate.report
         if known is None or known.id != report.id:
-            deps.directory.synced.wait(SYNC_WAIT_S)
-            if self._is_outdated(report):
+            informed = deps.directory.informed.wait(ENTRIES_WAIT_S)
+            if report.state is _model.UpstreamState.READY and not informed:
+                # It may be late, from an upstream that has left since.
+                gevent.spawn(self._accept_when_informed, report)
                 telemetry.event(
                     _LOGGER,
-                    "report.outdated",
+                    "report.unverified",
+                    level=logging.WARNING,
                     upstream=report.id,
                     sequence=report.sequence,
                 )
-                return 200
+                return 503
+        return self._accept(report)
+
+    def _accept_when_informed(self, report: _model.Report) -> None:
+        """Handles a report later, unless the next one is due before."""
+        deps = self._deps
+        if deps.directory.informed.wait(deps.cfg.report_interval_s):
+            self._accept(report)
+
+    def _accept(self, report: _model.Report) -> int:
+        """Handles a report unless it is outdated; returns the status."""
+        deps = self._deps
+        known = deps.gate.report
+        is_first = known is None or known.id != report.id
+        if is_first and self._is_outdated(report):
+            telemetry.event(
+                _LOGGER,
+                "report.outdated",
+                upstream=report.id,
+                sequence=report.sequence,
+            )
+            return 200
         changed = deps.gate.handle_report(report)
         if report.state is not _model.UpstreamState.READY:
             return self._acknowledge_departure(report.id)
@@ -183,4 +207,7 @@
             return report.start_time_ms < announced.start_time_ms
         if report.sequence < announced.sequence:
             return True
-        return announced.state is _model.UpstreamState.GONE
+        if announced.state is _model.UpstreamState.GONE:
+            return True
+        leaving = announced.state is not _model.UpstreamState.READY
+        return leaving and report.state is _model.UpstreamState.READY
--- a/flamingolug/gateway/_departure_records.py
+++ b/flamingolug/gateway/_departure_records.py
@@ -19,6 +19,7 @@
 from flamingolug import store
 from flamingolug import telemetry
 from flamingolug import timing
+from flamingolug.gateway import _departures
 from flamingolug.gateway import _directory
 from flamingolug.gateway import _frames
 from flamingolug.gateway import _held_lease
@@ -27,10 +28,6 @@
 from flamingolug.gateway import _model
 
 _LOGGER = logging.getLogger(__name__)
-#: Time to live of the record of a departure, seconds. A restarted node
-#: recognises delayed reports of that upstream by it; they arrive within this
-#: time.
-RECORD_TTL_S = 60.0
 #: Seconds between renewals of its lease.
 RENEWAL_INTERVAL_S = 20.0
 #: Nodes that are asked at once: the store may turn away a third of a fleet.
@@ -41,18 +38,6 @@
 MAX_WRITES = 3
 
 
-def is_departed(stored: _model.Upstream, upstream: _model.Upstream) -> bool:
-    """Returns whether a stored entry says that an upstream leaves, or left.
-
-    The entry may also belong to a later incarnation.
-    """
-    if stored.id != upstream.id:
-        return False
-    if stored.start_time_ms != upstream.start_time_ms:
-        return stored.start_time_ms > upstream.start_time_ms
-    return stored.state is not _model.UpstreamState.READY
-
-
 class Dependencies(NamedTuple):
     """Dependencies of the records."""
 
@@ -61,6 +46,8 @@
     rng: random.Random
     links: _link.Links
     metrics: _metrics.Metrics
+    #: Handles the departure of a peer's upstream.
+    on_departure: Callable[[_model.Upstream], None]
     #: Returns the addresses of the other nodes.
     peers: Callable[[], list[tuple[str, int]]]
     #: Shortest lease that the store grants, seconds.
@@ -76,7 +63,7 @@
         self._lease = _held_lease.HeldLease(
             deps.store,
             deps.timers,
-            max(RECORD_TTL_S, deps.min_lease_s),
+            max(_departures.DEPARTURE_TTL_S, deps.min_lease_s),
             RENEWAL_INTERVAL_S,
         )
         self._numbers = itertools.count(1)
@@ -109,20 +96,27 @@
         stored = None
         if items and items[0].value is not None:
             stored = _directory.decode_entry(key, items[0].value)
-        if stored is not None and is_departed(stored, departed):
+        if stored is not None and _departures.is_departed(stored, departed):
             return
         value = _directory.encode_entry(departed)
         lease = self._lease.hold()
         self._deps.store.write(key, value, revision, lease)
 
-    def handle_request(
-        self, request: _frames.DepartureRequest, confirm: Callable[[], object]
+    def handle_frame(
+        self, frame: _frames.DepartureFrame, confirm: Callable[[], object]
     ) -> None:
-        """Writes a record for another node; `confirm` is called when done."""
-        departed = _directory.decode_entry(request.key, request.value)
+        """Handles a departure, and records it if the peer requests that.
+
+        Args:
+            frame: the departure.
+            confirm: called when the record is in the store.
+        """
+        departed = _directory.decode_entry(frame.key, frame.value)
         if departed is None or departed.state is _model.UpstreamState.READY:
             return
-        gevent.spawn(self._write_for_peer, departed, confirm)
+        self._deps.on_departure(departed)
+        if frame.number:
+            gevent.spawn(self._write_for_peer, departed, confirm)
 
     def _write_for_peer(
         self, departed: _model.Upstream, confirm: Callable[[], object]
@@ -142,7 +136,7 @@
         )
         confirm()
 
-    def handle_confirmation(self, number: int) -> None:
+    def handle_recorded(self, number: int) -> None:
         """Handles the answer of a node that has written a record."""
         confirmed = self._confirmed.get(number)
         if confirmed is not None:
@@ -169,7 +163,7 @@
     ) -> None:
         number = next(self._numbers)
         self._confirmed[number] = confirmed
-        request = _frames.DepartureRequest(
+        request = _frames.DepartureFrame(
             number,
             _directory.PREFIX + departed.id,
             _directory.encode_entry(departed),
@@ -210,7 +204,7 @@
     def _ask(
         self,
         address: tuple[str, int],
-        request: _frames.DepartureRequest,
+        request: _frames.DepartureFrame,
         wait_s: float,
     ) -> None:
         try:
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -20,6 +20,7 @@
 from flamingolug import telemetry
 from flamingolug import timing
 from flamingolug.gateway import _backoff
+from flamingolug.gateway import _departures
 from flamingolug.gateway import _model
 from flamingolug.gateway import _tasks
 from flamingolug.gateway import _watch_checks
@@ -99,6 +100,8 @@
     is_confirmed: Callable[[_model.Upstream], bool]
     #: Called with the key when an entry disappears from the store.
     on_removed: Callable[[str], None]
+    #: Called with an upstream that leaves or has left.
+    on_departure: Callable[[_model.Upstream], None]
     #: Requests the entries of a linked node; `merge_from_peer` is called with
     #: the answer.
     request_from_peer: Callable[[], None]
@@ -108,6 +111,15 @@
     check_interval_s: Callable[[], float]
 
 
+class KnownEntries(NamedTuple):
+    """Entries that a node passes on to another one."""
+
+    #: In state `ready`.
+    ready: list[store.Item]
+    #: Of upstreams that leave or have left.
+    departed: list[store.Item]
+
+
 class DirectoryEntry:
     """Entry of one upstream, with its revision and when it lapsed."""
 
@@ -142,6 +154,8 @@
         """Creates an empty directory."""
         #: Set once all entries have been read from the store.
         self.synced = event.Event()
+        #: Set then, or once a peer that has read them has sent its own.
+        self.informed = event.Event()
         #: Whether the store was unavailable at the start and no peer has sent
         #: entries either.
         self.lacks_entries = False
@@ -169,6 +183,7 @@
         self._entries_by_service: dict[str, EntriesByZone] = {}
         self._upstream_counts: dict[str, int] = {}
         self._index_outdated = False
+        self._departures = _departures.Departures(deps.timers)
 
     def start(self) -> None:
         """Starts to list and watch the store."""
@@ -230,18 +245,18 @@
         self._restart()
 
     def find(self, upstream_id: str) -> _model.Upstream | None:
-        """Returns an upstream whose entry is present, None without one."""
-        entry = self._entries.get(PREFIX + upstream_id)
-        if entry is None or entry.lapsed_at is not None:
-            return None
+        """Returns an upstream that is present or departed, None otherwise."""
+        entry = self.find_entry(PREFIX + upstream_id)
+        if entry is None:
+            return self._departures.find(upstream_id)
         return entry.upstream
 
-    def revision_of(self, key: str) -> int:
-        """Returns the revision of a present entry by its key, 0 for none."""
+    def find_entry(self, key: str) -> DirectoryEntry | None:
+        """Returns a present entry by its key, None without one."""
         entry = self._entries.get(key)
         if entry is None or entry.lapsed_at is not None:
-            return 0
-        return entry.revision
+            return None
+        return entry
 
     def entries_by_zone(self, service: str) -> EntriesByZone:
         """Returns the ready entries of a service by zone."""
@@ -272,14 +287,25 @@
         """Returns the number of nodes that have an entry."""
         return len(self._keys_by_address)
 
-    def entries(self, after: int) -> list[store.Item]:
-        """Returns the entries in state `ready` after a revision."""
-        return [
-            store.Item(key, encode_entry(entry.upstream), entry.revision)
-            for key, entry in self._entries.items()
-            if entry.revision > after
-            and entry.upstream.state is _model.UpstreamState.READY
-        ]
+    def entries(self, after: int) -> KnownEntries | None:
+        """Returns all departures, and the ready entries after a revision.
+
+        Returns None if neither the store nor a peer has informed this node: it
+        does not know of departures then.
+        """
+        if not self.informed.is_set():
+            return None
+        known = KnownEntries([], [])
+        for key, entry in self._entries.items():
+            item = store.Item(key, encode_entry(entry.upstream), entry.revision)
+            if entry.upstream.state is not _model.UpstreamState.READY:
+                known.departed.append(item)
+            elif entry.revision > after:
+                known.ready.append(item)
+        for departed in self._departures.list_all():
+            value = encode_entry(departed)
+            known.departed.append(store.Item(PREFIX + departed.id, value, 0))
+        return known
 
     @property
     def complete_revision(self) -> int:
@@ -327,13 +353,41 @@
             self._restart()
         return True
 
-    def merge_from_peer(self, items: list[store.Item]) -> None:
-        """Applies the entries of a peer that are newer than this node's.
+    def record_departure(self, departed: _model.Upstream) -> None:
+        """Handles a departure that a peer has reported.
+
+        The entry of that incarnation, present or read later, counts as the
+        departure.
+        """
+        if not self._departures.add(departed):
+            return
+        entry = self._entries.get(PREFIX + departed.id)
+        if entry is not None:
+            entry.upstream = self._apply_departure(entry.upstream)
+            self._index_outdated = True
+        self._deps.on_departure(departed)
+
+    def _apply_departure(self, upstream: _model.Upstream) -> _model.Upstream:
+        """Returns an upstream in its state of departure, if one is known."""
+        departed = self._departures.find(upstream.id)
+        if departed is None or not _departures.is_departed(departed, upstream):
+            return upstream
+        if upstream.state is not _model.UpstreamState.READY:
+            return upstream
+        return upstream._replace(state=departed.state)
+
+    def merge_from_peer(self, known: KnownEntries) -> None:
+        """Applies what a peer knows and this node does not.
 
         Later entries from the store replace them.
         """
+        for item in known.departed:
+            departed = decode_entry(item.key, item.value or b"")
+            if departed and departed.state is not _model.UpstreamState.READY:
+                self.record_departure(departed)
+        self.informed.set()
         after = self.complete_revision
-        newer = [item for item in items if item.revision > after]
+        newer = [item for item in known.ready if item.revision > after]
         if not newer:
             return
         self.lacks_entries = False
@@ -353,6 +407,7 @@
         upstream = decode_entry(item.key, item.value)
         if upstream is None:
             return
+        upstream = self._apply_departure(upstream)
         if entry is not None:
             # The upstream may have a new address.
             self._delete(item.key)
@@ -371,6 +426,8 @@
             state=upstream.state,
             revision=item.revision,
         )
+        if upstream.state is not _model.UpstreamState.READY:
+            self._deps.on_departure(upstream)
 
     def _delete_predecessors(
         self, upstream: _model.Upstream, revision: int
@@ -500,4 +557,5 @@
         self._store_failing = False
         self._answered_at = self._deps.timers.now()
         self.synced.set()
+        self.informed.set()
         return page.as_of
--- a/flamingolug/gateway/_frames.py
+++ b/flamingolug/gateway/_frames.py
@@ -140,24 +140,26 @@
 
 
 class EntriesFrame(msgspec.Struct, array_like=True, tag=10, frozen=True):
-    """Entries of upstreams in state `ready`."""
+    """Entries of upstreams, all that the sender has or later ones only."""
 
+    #: In state `ready`.
     entries: list[EntryFrame]
+    #: Of all upstreams that leave or have left.
+    departures: list[EntryFrame] = []
 
 
-class DepartureRequest(msgspec.Struct, array_like=True, tag=11, frozen=True):
-    """Requests that the receiver records a departure in the store."""
+class DepartureFrame(msgspec.Struct, array_like=True, tag=11, frozen=True):
+    """Tells that an upstream leaves or has left."""
 
-    #: Number of the request, unique in the sender's process.
+    #: Number of the request to record it in the store, unique in the sender's
+    #: process; 0 if the sender needs no record.
     number: int
-    #: The entry of the upstream that leaves or has left, as it is stored.
+    #: The entry of the upstream as it is stored.
     key: str
     value: bytes
 
 
-class DepartureConfirmation(
-    msgspec.Struct, array_like=True, tag=12, frozen=True
-):
+class DepartureRecorded(msgspec.Struct, array_like=True, tag=12, frozen=True):
     """Tells that the record of a departure is in the store."""
 
     #: Number of the request.
@@ -175,8 +177,8 @@
     | ConfigurationFrame
     | EntriesRequest
     | EntriesFrame
-    | DepartureRequest
-    | DepartureConfirmation
+    | DepartureFrame
+    | DepartureRecorded
 )
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Frame)
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -262,6 +262,37 @@
         self._deps.notify_peers()
         return True
 
+    def handle_departure(self, departed: _model.Upstream) -> None:
+        """Stops using the upstream that has been recorded as leaving.
+
+        Its node may have accepted a report that was sent before, in a process
+        that did not know of the record.
+
+        Args:
+            departed: its record, or the entry of a later incarnation.
+        """
+        report = self.report
+        if report is None or report.id != departed.id:
+            return
+        if report.state is not _model.UpstreamState.READY:
+            return
+        if report.start_time_ms > departed.start_time_ms:
+            return
+        self._departed[report.id] = report.start_time_ms
+        state = departed.state
+        if state is _model.UpstreamState.READY:
+            state = _model.UpstreamState.GONE
+        self.report = report._replace(state=state)
+        self.slots.refuse_all()
+        telemetry.event(
+            _LOGGER,
+            "upstream.departure_found",
+            level=logging.WARNING,
+            upstream=report.id,
+            state=state,
+        )
+        self._deps.notify_peers()
+
     def stop_accepting(self) -> None:
         """Refuses new and waiting calls; running calls continue."""
         self.stopping = True
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -18,6 +18,7 @@
 from flamingolug import store
 from flamingolug import telemetry
 from flamingolug import timing
+from flamingolug.gateway import _directory
 from flamingolug.gateway import _dynamic_table
 from flamingolug.gateway import _frames
 from flamingolug.gateway import _metrics
@@ -115,18 +116,16 @@
     on_entries_revision: Callable[[int], bool]
     #: Returns the revision up to which this node has all ready entries.
     complete_revision: Callable[[], int]
-    #: Returns the entries in state `ready` with a revision higher than the
-    #: given one.
-    entries: Callable[[int], list[store.Item]]
+    #: Returns the directory's entries after a revision, None while it has read
+    #: none.
+    entries: Callable[[int], _directory.KnownEntries | None]
     #: Handles directory entries from a peer.
-    on_entries: Callable[[list[store.Item]], None]
-    #: Records the departure of a peer's upstream; calls the second argument
-    #: once it is in the store.
-    on_departure_request: Callable[
-        [_frames.DepartureRequest, Callable[[], object]], None
-    ]
+    on_entries: Callable[[_directory.KnownEntries], None]
+    #: Handles the departure of an upstream; calls the second argument once it
+    #: is in the store, if the frame requests that.
+    on_departure: Callable[[_frames.DepartureFrame, Callable[[], object]], None]
     #: Handles the number of a request whose departure a peer has recorded.
-    on_departure_confirmation: Callable[[int], None]
+    on_departure_recorded: Callable[[int], None]
 
 
 class FrameConnection:
@@ -522,28 +521,39 @@
         deps.on_document(frame.document)
         return
     if isinstance(frame, _frames.EntriesRequest):
-        entries = [
-            _frames.EntryFrame(item.key, item.value or b"", item.revision)
-            for item in deps.entries(frame.after_revision)
-        ]
-        connection.send(_frames.EntriesFrame(entries))
+        known = deps.entries(frame.after_revision)
+        if known is not None:
+            connection.send(
+                _frames.EntriesFrame(
+                    [_to_entry_frame(item) for item in known.ready],
+                    [_to_entry_frame(item) for item in known.departed],
+                )
+            )
         return
-    if isinstance(frame, _frames.DepartureRequest):
-        confirmation = _frames.DepartureConfirmation(frame.number)
-        deps.on_departure_request(frame, lambda: connection.send(confirmation))
+    if isinstance(frame, _frames.DepartureFrame):
+        recorded = _frames.DepartureRecorded(frame.number)
+        deps.on_departure(frame, lambda: connection.send(recorded))
         return
-    if isinstance(frame, _frames.DepartureConfirmation):
-        deps.on_departure_confirmation(frame.number)
+    if isinstance(frame, _frames.DepartureRecorded):
+        deps.on_departure_recorded(frame.number)
         return
     if isinstance(frame, _frames.EntriesFrame):
         deps.on_entries(
-            [
-                store.Item(entry.key, entry.value, entry.revision)
-                for entry in frame.entries
-            ]
+            _directory.KnownEntries(
+                [_from_entry_frame(entry) for entry in frame.entries],
+                [_from_entry_frame(entry) for entry in frame.departures],
+            )
         )
 
 
+def _to_entry_frame(item: store.Item) -> _frames.EntryFrame:
+    return _frames.EntryFrame(item.key, item.value or b"", item.revision)
+
+
+def _from_entry_frame(frame: _frames.EntryFrame) -> store.Item:
+    return store.Item(frame.key, frame.value, frame.revision)
+
+
 def _to_outcome(
     frame: _frames.ResultFrame, decoder: _dynamic_table.TableDecoder
 ) -> _model.Outcome:
--- a/flamingolug/gateway/_peer_server.py
+++ b/flamingolug/gateway/_peer_server.py
@@ -11,6 +11,7 @@
 
 from flamingolug import http1
 from flamingolug import telemetry
+from flamingolug.gateway import _directory
 from flamingolug.gateway import _dynamic_table
 from flamingolug.gateway import _frames
 from flamingolug.gateway import _gate
@@ -32,6 +33,8 @@
     rng: random.Random
     #: Returns whether this node lacks the entries of upstreams.
     lacks_entries: Callable[[], bool]
+    #: Returns the entry of this node's upstream, None without a report.
+    own_entry: Callable[[], _model.Upstream | None]
 
 
 class PeerServer:
@@ -67,6 +70,7 @@
         tickets: dict[int, _slots.Ticket] = {}
         self._connections[connection] = tickets
         self._send_status(connection)
+        self._send_departure(connection)
         if self._deps.lacks_entries():
             connection.send(_frames.EntriesRequest(0))
         try:
@@ -126,6 +130,22 @@
         self._status_due = False
         for connection in list(self._connections):
             self._send_status(connection)
+            self._send_departure(connection)
+
+    def _send_departure(self, connection: _link.FrameConnection) -> None:
+        """Sends the state of an upstream that leaves.
+
+        The peer still knows of it when it talks to the next process here, also
+        if neither can read the record in the store.
+        """
+        own = self._deps.own_entry()
+        if own is None or own.state is _model.UpstreamState.READY:
+            return
+        connection.send(
+            _frames.DepartureFrame(
+                0, _directory.PREFIX + own.id, _directory.encode_entry(own)
+            )
+        )
 
     def _send_status(self, connection: _link.FrameConnection) -> None:
         """Sends the state of the upstream and the versions held here."""
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -157,9 +157,9 @@
         lambda revision: directory().record_peer_revision(revision),
         lambda: directory().complete_revision,
         lambda after: directory().entries(after),
-        lambda items: directory().merge_from_peer(items),
-        lambda request, confirm: records().handle_request(request, confirm),
-        lambda number: records().handle_confirmation(number),
+        lambda known: directory().merge_from_peer(known),
+        lambda frame, confirm: records().handle_frame(frame, confirm),
+        lambda number: records().handle_recorded(number),
     )
 
 
@@ -184,6 +184,9 @@
             lambda key: parts.get(
                 "gateway.announcer", _announcer.Announcer
             ).on_removed(key),
+            lambda departed: parts.get(
+                "gateway.gate", _gate.Gate
+            ).handle_departure(departed),
             lambda: parts.get(
                 "gateway.peer-server", _peer_server.PeerServer
             ).request_entries(),
@@ -218,6 +221,7 @@
             _rng(parts),
             parts.get("gateway.links", _link.Links),
             _metrics_of(parts),
+            directory.record_departure,
             peers,
             cfg.min_lease_s,
         )
@@ -235,7 +239,8 @@
             _store(parts),
             _timers(parts),
             lambda: gate.report,
-            parts.get("gateway.directory", _directory.Directory).revision_of,
+            parts.get("gateway.directory", _directory.Directory).find_entry,
+            gate.handle_departure,
         )
     )
 
@@ -310,6 +315,9 @@
                     "gateway.directory", _directory.Directory
                 ).lacks_entries
             ),
+            lambda: parts.get(
+                "gateway.announcer", _announcer.Announcer
+            ).make_entry(),
         )
     )
 
--- a/flamingolug/gateway/tests/test_announcer.py
+++ b/flamingolug/gateway/tests/test_announcer.py
@@ -17,11 +17,14 @@
 from flamingolug import errors
 from flamingolug import store
 from flamingolug.gateway import _announcer
-from flamingolug.gateway import _departure_records
+from flamingolug.gateway import _departures
 from flamingolug.gateway import _directory
 from flamingolug.gateway import _model
 
 _KEY = _directory.PREFIX + "u1"
+_ENTRY = _model.Upstream(
+    "u1", "s", "z0", "127.0.0.1", 1, 10, _model.UpstreamState.READY, 1, 1
+)
 
 
 class _Store:
@@ -30,6 +33,8 @@
     def __init__(self, revision: int) -> None:
         self.revision = revision
         self.calls: list[str] = []
+        #: Value that `read` returns.
+        self.value = b""
         self.lose_answers = 0
         #: Called before each write.
         self.before_write: Callable[[], object] = lambda: None
@@ -52,7 +57,11 @@
     def read(self, key: str) -> store.Page:
         """Returns the item with its revision."""
         self.calls.append("read")
-        items = [store.Item(key, b"", self.revision)] if self.revision else []
+        items = (
+            [store.Item(key, self.value, self.revision)]
+            if self.revision
+            else []
+        )
         return store.Page(items, self.revision)
 
     def write(
@@ -84,9 +93,23 @@
         )
 
     def start_announcer(
-        self, kv: _Store, known_revision: int = 0
+        self,
+        kv: _Store,
+        known_revision: int = 0,
+        known_state: _model.UpstreamState = _model.UpstreamState.READY,
     ) -> _announcer.Announcer:
-        """Returns an announcer of the report of this test."""
+        """Returns an announcer of the report of this test.
+
+        Args:
+            kv: store in which it announces.
+            known_revision: revision of the directory's entry, 0 for no entry.
+            known_state: state of that entry.
+        """
+        known = None
+        if known_revision:
+            known = _directory.DirectoryEntry(
+                _ENTRY._replace(state=known_state), known_revision
+            )
         timers: Any = types.SimpleNamespace(now=lambda: 100.0)
         cfg: Any = types.SimpleNamespace(
             identity=types.SimpleNamespace(zone="z0"),
@@ -99,13 +122,18 @@
                 cast(store.LeasedStore, kv),
                 timers,
                 lambda: self.report,
-                lambda key: known_revision if key == _KEY else 0,
+                lambda key: known if key == _KEY else None,
+                self.handle_departure,
             )
         )
         announcer.start()
         self.addCleanup(announcer.stop)
         return announcer
 
+    def handle_departure(self, departed: _model.Upstream) -> None:
+        """Leaves, as the gate does."""
+        self.leave(departed.state)
+
     def leave(self, state: _model.UpstreamState) -> None:
         """Sets the state of the report."""
         self.report = self.report._replace(state=state)
@@ -192,12 +220,51 @@
                 announcer.publish().wait(0.1)
                 announcer.withdraw()
                 gevent.sleep(0.01)
-                self.assertEqual(
-                    kv.granted_s[-1], _departure_records.RECORD_TTL_S
-                )
+                self.assertEqual(kv.granted_s[-1], _departures.DEPARTURE_TTL_S)
                 self.assertEqual(kv.write_leases, [1, 2])
                 self.assertNotIn(2, kv.ended_leases)
 
+    # Guards against a late report that replaces the record of a departure which
+    # an earlier process has acknowledged.
+    def test_record_of_a_departure_is_not_replaced(self) -> None:
+        for state in (
+            _model.UpstreamState.DRAINING,
+            _model.UpstreamState.GONE,
+        ):
+            for known_revision in (0, 5):
+                with self.subTest(state, known_revision=known_revision):
+                    self.setUp()
+                    kv = _Store(5)
+                    record = _ENTRY._replace(state=state)
+                    kv.value = _directory.encode_entry(record)
+                    written: list[_model.UpstreamState] = []
+
+                    def note_state(
+                        written: list[_model.UpstreamState] = written,
+                    ) -> None:
+                        written.append(self.report.state)
+
+                    kv.before_write = note_state
+                    announcer = self.start_announcer(kv, known_revision, state)
+                    self.assertTrue(announcer.publish().wait(2.0))
+                    self.assertEqual(self.report.state, state)
+                    # A first write that expects no entry does no harm.
+                    self.assertEqual(written[-1], state)
+                    self.assertEqual(
+                        written[:-1].count(_model.UpstreamState.READY),
+                        0 if known_revision else 1,
+                    )
+
+    # Guards against a record that keeps the next incarnation out.
+    def test_record_of_an_earlier_incarnation_is_replaced(self) -> None:
+        kv = _Store(5)
+        self.report = self.report._replace(start_time_ms=2)
+        gone = _model.UpstreamState.GONE
+        announcer = self.start_announcer(kv, 5, gone)
+        self.assertTrue(announcer.publish().wait(2.0))
+        self.assertEqual(self.report.state, _model.UpstreamState.READY)
+        self.assertEqual(kv.calls, ["write"])
+
 
 class BatchTest(unittest.TestCase):
     """One answered watch returns the changes of many nodes."""
--- a/flamingolug/gateway/tests/test_departure_records.py
+++ b/flamingolug/gateway/tests/test_departure_records.py
@@ -99,6 +99,7 @@
                 random.Random(1),
                 cast(Any, links),
                 cast(Any, types.SimpleNamespace(counters=counters)),
+                lambda departed: None,
                 lambda: [("h", port) for port in range(10)],
                 1.0,
             )
@@ -107,8 +108,8 @@
     def request(self, kv: _Store, upstream: _model.Upstream) -> bool:
         """Returns whether a request to record a departure is confirmed."""
         confirmed: list[bool] = []
-        self.make_records(kv).handle_request(
-            _frames.DepartureRequest(
+        self.make_records(kv).handle_frame(
+            _frames.DepartureFrame(
                 1,
                 _directory.PREFIX + upstream.id,
                 _directory.encode_entry(upstream),
@@ -171,5 +172,5 @@
             sorted(links.asked), [("h", n) for n in range(10) if n != 8]
         )
         self.assertFalse(confirmed.is_set())
-        records.handle_confirmation(1)
+        records.handle_recorded(1)
         self.assertTrue(confirmed.is_set())
--- a/flamingolug/gateway/tests/test_directory.py
+++ b/flamingolug/gateway/tests/test_directory.py
@@ -27,6 +27,16 @@
     )
 
 
+def _departed(name: str, start_time_ms: int) -> store.Item:
+    item = _item(name, 0)
+    upstream = _directory.decode_entry(item.key, item.value or b"")
+    assert upstream is not None
+    gone = upstream._replace(
+        state=_model.UpstreamState.GONE, start_time_ms=start_time_ms
+    )
+    return store.Item(item.key, _directory.encode_entry(gone), 0)
+
+
 class _Store:
     """A store whose watches return only if they need not wait."""
 
@@ -61,6 +71,7 @@
         self.time_s = 100.0
         self.store = _Store()
         self.requests_to_peers = 0
+        self.departed: list[_model.Upstream] = []
         self.used_at = 0.0
         subscription = types.SimpleNamespace(cancel=lambda: None)
         timers: Any = types.SimpleNamespace(
@@ -74,6 +85,7 @@
                 timers,
                 lambda upstream: False,
                 lambda key: None,
+                self.departed.append,
                 self._request_from_peer,
                 lambda: self.used_at,
                 lambda: _CHECK_INTERVAL_S,
@@ -88,6 +100,10 @@
         self.directory.start()
         gevent.sleep(0.01)
 
+    def _merge(self, *ready: store.Item) -> None:
+        """Merges the ready entries of a peer."""
+        self.directory.merge_from_peer(_directory.KnownEntries(list(ready), []))
+
     def _names(self) -> set[str]:
         by_zone = self.directory.entries_by_zone("s")
         return {entry.upstream.id for entry in by_zone.own_zone}
@@ -119,7 +135,7 @@
     def test_lag_starts_anew_after_the_node_has_caught_up(self) -> None:
         self._start()
         self.directory.record_peer_revision(9)
-        self.directory.merge_from_peer([_item("a", 9)])
+        self._merge(_item("a", 9))
         self.time_s += _directory.MAX_LAG_S
         self.assertFalse(self.directory.record_peer_revision(10))
 
@@ -168,7 +184,7 @@
         self.store.items = [_item("a", 5), _item("b", 6)]
         self.store.as_of = 8
         self._start()
-        self.directory.merge_from_peer([_item("old", 7), _item("new", 9)])
+        self._merge(_item("old", 7), _item("new", 9))
         self.assertEqual(self._names(), {"a", "b", "new"})
         self.assertEqual(self.directory.revision, 9)
 
@@ -199,14 +215,54 @@
         self.store.items = [_item("a", 5), _item("b", 9)]
         self.store.as_of = 9
         self._start()
-        revisions = [item.revision for item in self.directory.entries(5)]
-        self.assertEqual(revisions, [9])
+        known = self.directory.entries(5)
+        assert known is not None
+        self.assertEqual([item.revision for item in known.ready], [9])
+
+    # Guards against an entry, or a report that is accepted by it, of an
+    # upstream whose departure only peers know of.
+    def test_departure_that_a_peer_tells_outweighs_the_entry(self) -> None:
+        gone = _departed("a", 1)
+        for is_read_first in (True, False):
+            with self.subTest(is_read_first=is_read_first):
+                self.setUp()
+                if is_read_first:
+                    self.directory.apply(_item("a", 5))
+                self.directory.merge_from_peer(
+                    _directory.KnownEntries([], [gone])
+                )
+                if not is_read_first:
+                    self.directory.apply(_item("a", 5))
+                self.assertEqual(self._names(), set())
+                found = self.directory.find("a")
+                assert found is not None
+                self.assertEqual(found.state, _model.UpstreamState.GONE)
+                self.assertEqual({each.id for each in self.departed}, {"a"})
+
+    def test_departure_says_nothing_of_the_next_incarnation(self) -> None:
+        self.directory.merge_from_peer(
+            _directory.KnownEntries([], [_departed("a", 0)])
+        )
+        self.directory.apply(_item("a", 5))
+        self.assertEqual(self._names(), {"a"})
+
+    # Guards against two processes that confirm each other's ignorance.
+    def test_only_an_informed_node_informs_others(self) -> None:
+        self.assertIsNone(self.directory.entries(0))
+        self.directory.merge_from_peer(
+            _directory.KnownEntries([_item("b", 5)], [_departed("a", 1)])
+        )
+        self.assertTrue(self.directory.informed.is_set())
+        known = self.directory.entries(0)
+        assert known is not None
+        self.assertEqual(len(known.ready), 1)
+        self.assertEqual(len(known.departed), 1)
 
     def test_start_without_the_store_requests_entries_from_a_peer(self) -> None:
         self.store.unavailable = True
         self._start()
         self.assertTrue(self.directory.lacks_entries)
         self.assertEqual(self.requests_to_peers, 1)
-        self.directory.merge_from_peer([_item("a", 5)])
+        self._merge(_item("a", 5))
         self.assertFalse(self.directory.lacks_entries)
         self.assertEqual(self._names(), {"a"})
--- a/flamingolug/gateway/tests/test_shift_load.py
+++ b/flamingolug/gateway/tests/test_shift_load.py
@@ -101,6 +101,7 @@
                 self._timers,
                 lambda upstream: False,
                 lambda key: None,
+                lambda departed: None,
                 lambda: None,
                 lambda: 0.0,
                 lambda: 0.0,
--- a/flamingolug/gateway/tests/test_upstreams.py
+++ b/flamingolug/gateway/tests/test_upstreams.py
@@ -36,6 +36,7 @@
                 timers,
                 lambda upstream: False,
                 lambda key: None,
+                lambda departed: None,
                 lambda: None,
                 lambda: 0.0,
                 lambda: 0.0,
--- a/flamingolug/platform/tests/processes.py
+++ b/flamingolug/platform/tests/processes.py
@@ -13,6 +13,8 @@
 
 from flamingolug import http1
 from flamingolug import platform
+from flamingolug.gateway import _directory
+from flamingolug.gateway import _model
 from flamingolug.platform.tests import deployment
 from flamingolug_standins import documents
 from flamingolug_standins import sealing_server
@@ -80,9 +82,10 @@
         )
         self._directory = tempfile.TemporaryDirectory()
         path = pathlib.Path(self._directory.name) / "node.toml"
+        self._store = test_deployment.store
         store_host = deployment.next_host()
-        test_deployment.store.listen_at(store_host)
-        store_port = test_deployment.store.address[1]
+        self._store.listen_at(store_host)
+        store_port = self._store.address[1]
         #: HOST:PORT at which this node calls the store.
         self.store_address = f"{store_host}:{store_port}"
         path.write_text(
@@ -109,7 +112,7 @@
     def start(self) -> None:
         """Starts the process; waits until it is ready."""
         self.start_without_configuration()
-        deployment.wait_until(self._is_ready, "the node process is ready")
+        self.wait_ready()
 
     def start_without_configuration(self) -> None:
         """Starts the process; waits until its listening sockets are open."""
@@ -121,6 +124,16 @@
         )
         deployment.wait_until(self._listens, "the node process listens")
 
+    def wait_ready(self) -> None:
+        """Waits until the node is ready."""
+        deployment.wait_until(self._is_ready, "the node process is ready")
+
+    def stored_entry(self) -> _model.Upstream | None:
+        """Returns the entry of the server in the store."""
+        key = _directory.PREFIX + self.server.id
+        value = self._store.get(key)
+        return _directory.decode_entry(key, value) if value else None
+
     def kill(self) -> None:
         """Kills the process; waits until it has ended."""
         self.process.kill()
--- a/flamingolug/platform/tests/test_departures.py
+++ b/flamingolug/platform/tests/test_departures.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from flamingolug.gateway import _link
 from flamingolug.platform.tests import deployment
 from flamingolug.platform.tests import processes
 from flamingolug_standins import documents
@@ -134,6 +135,66 @@
         self.front.start()
         self.assert_late_report_has_no_effect(report)
 
+    # Guards against a process that accepts a late report while it can't read
+    # the store, and then replaces the record of the departure.
+    def test_late_report_is_not_accepted_before_the_store_was_read(
+        self,
+    ) -> None:
+        report = self.make_late_report()
+        self.assertEqual(self.front.server.deregister(), 200)
+        record = self.front.stored_entry()
+        self.front.kill()
+        self.turn_away()
+        self.front.start_without_configuration()
+        self.assertEqual(self.front.server.post("heartbeat", report), 503)
+        self.deployment.store.turned_away.clear()
+        self.front.wait_ready()
+        self.assert_late_report_has_no_effect(report)
+        self.assertEqual(self.front.stored_entry(), record)
+
+    # Guards against a process that takes what a peer knows of an upstream for
+    # all that is known, or does not take it while the store is away.
+    def test_peer_tells_a_process_without_the_store_who_has_left(self) -> None:
+        routes = [*_ROUTES, documents.make_route("lend", "shelf")]
+        nodes = deployment.Deployment(("shelf",), routes)
+        self.addCleanup(nodes.stop)
+        (shelf,) = nodes.instances
+        for leaves in (False, True):
+            with self.subTest(leaves=leaves):
+                front = processes.NodeProcess("front", nodes)
+                self.addCleanup(front.close)
+                deployment.wait_until(
+                    lambda: (
+                        deployment.send_request(shelf, "read", "link").status
+                        == 200
+                    ),
+                    "the peer has a link",
+                )
+                front.server.sequence += 1
+                report = front.server.make_report("ready")
+                if leaves:
+                    self.assertEqual(front.server.deregister(), 200)
+                nodes.store.down = True
+                front.kill()
+                front.start_without_configuration()
+                self.assertEqual(front.server.post("heartbeat", report), 503)
+                connection = _link.Links(
+                    shelf.node.parts.get(
+                        "gateway.link-needs", _link.Dependencies
+                    )
+                )
+                connection.link_to(front.link, 1.0)
+                front.wait_ready()
+                gevent.sleep(0.1)
+                self.assertEqual(front.server.post("heartbeat", report), 200)
+                status = processes.ask_once(
+                    front.outbound, b"/read/x", f"own-{leaves}", 500
+                )
+                self.assertEqual(status, 503 if leaves else 200)
+                connection.stop()
+                nodes.store.down = False
+                front.kill()
+
     # Guards against an acknowledgement that the next process can't know of.
     def test_stopping_node_does_not_acknowledge_what_it_can_not_write(
         self,
