Let requests after a pause wait for the check of the configuration

The first requests after a pause, 10.5 s after the acknowledgement, were handled by the old version: run by the old service, on a dropped route, or answered 404 on an added one.

Cause: a request starts the check that finds the change, but was answered from the known version without waiting, however old the last answer of the store was. Ruled out: a check that finds nothing (the next requests are handled by the new version).

Change: a request that finds a check overdue waits for it, at most 0.3 s in all for one check. In use, a check ends before it is overdue, so requests wait only after a pause; a store that does not answer holds up requests once, then the known version is used. Checks by a timer at idle nodes were weighed: each is a call to the store.

Paths read for the same cause: the watch of the entries (a timer; a gate refuses what an outdated entry leads to), versions from peers, writes whose response was lost (read again first), the demo product's watch (2 s).

--- a/flamingolug/gateway/_configuration_watcher.py
+++ b/flamingolug/gateway/_configuration_watcher.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 import gevent
+from gevent import event
 
 from flamingolug import errors
 from flamingolug import store
@@ -19,6 +20,9 @@
 _LOGGER = logging.getLogger(__name__)
 #: Seconds between two looks whether a check of the watch is due.
 CHECK_LOOK_INTERVAL_S = 0.25
+#: Longest wait of a request for an overdue check, seconds: a call takes as long
+#: to a store that is slower than normal by a factor of 60.
+MAX_CHECK_WAIT_S = 0.3
 
 
 class ActiveConfiguration(NamedTuple):
@@ -57,7 +61,11 @@
         self._after = -1
         #: Clock reading of the last answer of the store to a watch or check.
         self._answered_at = 0.0
-        self._checking = False
+        #: Set unless a check is in progress.
+        self._checked = event.Event()
+        self._checked.set()
+        #: Clock reading until which requests wait for the check in progress.
+        self._wait_until = 0.0
         #: Clock reading from which on a request looks whether a check is due.
         self._look_at = 0.0
 
@@ -67,17 +75,37 @@
         return self.active.cfg.version if self.active else 0
 
     def use(self) -> ActiveConfiguration | None:
-        """Returns the configuration for a request; checks the watch if due."""
+        """Returns the configuration for a request; checks the watch if due.
+
+        Waits for the check if it is overdue, as after a time without requests.
+        """
         now = self._deps.timers.now()
         self.used_at = now
-        checkable = self.following and self._after >= 0 and not self._checking
-        if checkable and now >= self._look_at:
-            self._look_at = now + CHECK_LOOK_INTERVAL_S
-            if now - self._answered_at >= self._deps.check_interval_s():
-                self._checking = True
-                gevent.spawn(self._check)
+        if self._checked.is_set():
+            self._check_if_due(now)
+        if not self._checked.is_set() and now < self._wait_until:
+            self._checked.wait(self._wait_until - now)
         return self.active
 
+    def _check_if_due(self, now: float) -> None:
+        if not self.following or self._after < 0 or now < self._look_at:
+            return
+        self._look_at = now + CHECK_LOOK_INTERVAL_S
+        age_s = now - self._answered_at
+        interval_s = self._deps.check_interval_s()
+        if age_s < interval_s:
+            return
+        is_overdue = age_s >= interval_s + _watch_checks.CHECK_DURATION_S
+        self._wait_until = now + MAX_CHECK_WAIT_S if is_overdue else now
+        self._checked.clear()
+        gevent.spawn(self._run_check)
+
+    def _run_check(self) -> None:
+        try:
+            self._check()
+        finally:
+            self._checked.set()
+
     def document(self) -> bytes | None:
         """Returns the document of the active configuration, None for none."""
         return self.active.cfg.document if self.active else None
@@ -121,8 +149,6 @@
         except errors.StoreError as exc:
             telemetry.failure(_LOGGER, "configuration.not_checked", exc)
             return
-        finally:
-            self._checking = False
         self._answered_at = self._deps.timers.now()
         if page.as_of <= self._after or not page.items:
             return
--- a/flamingolug/gateway/tests/test_configuration_watcher.py
+++ b/flamingolug/gateway/tests/test_configuration_watcher.py
@@ -28,6 +28,8 @@
         self.reads = 0
         #: Change that a watch that does not wait returns.
         self.change: list[store.Item] = []
+        #: Whether a watch that does not wait is not answered.
+        self.hang_checks = False
 
     def read(self, key: str) -> store.Page:
         """Returns no item."""
@@ -39,6 +41,8 @@
         """Answers or fails; if it may wait, the last one never returns."""
         del prefix
         self.waits_s.append(wait_s)
+        if wait_s == 0.0 and self.hang_checks:
+            gevent.sleep(3600.0)
         if wait_s == 0.0 and not self.failures:
             as_of = max((item.revision for item in self.change), default=after)
             return store.Page(self.change, as_of)
@@ -101,6 +105,39 @@
         # The watch is made anew, from the change on.
         self.assertEqual(kv.waits_s, [_LONG_S, 0.0, _LONG_S])
 
+    # Guards against requests after a pause that do not wait for the check which
+    # they start, and against a wait of requests for one that is not overdue.
+    def test_requests_wait_for_an_overdue_check_only(self) -> None:
+        for overdue_s in (0.0, _watch_checks.CHECK_DURATION_S):
+            with self.subTest(overdue_s=overdue_s):
+                kv = _Store([])
+                watcher = self.start_watcher(kv)
+                kv.change = [store.Item("k", b"later", 9)]
+                self.timers.advance(_CHECK_INTERVAL_S + overdue_s)
+                requests = [gevent.spawn(watcher.use) for _ in range(3)]
+                gevent.sleep(0)
+                waiting = [not each.ready() for each in requests]
+                self.assertEqual(waiting, [overdue_s > 0.0] * 3)
+                gevent.joinall(requests, timeout=0.1)
+                self.assertTrue(all(each.ready() for each in requests))
+                self.assertEqual(self.decoded, [b"later"])
+
+    # Guards against a store that does not answer and holds up requests.
+    def test_requests_wait_once_for_a_check_without_an_answer(self) -> None:
+        kv = _Store([])
+        kv.hang_checks = True
+        watcher = self.start_watcher(kv)
+        self.timers.advance(100.0)
+        request = gevent.spawn(watcher.use)
+        request.join(_configuration_watcher.MAX_CHECK_WAIT_S / 2)
+        self.assertFalse(request.ready())
+        request.join(_configuration_watcher.MAX_CHECK_WAIT_S)
+        self.assertTrue(request.ready())
+        self.timers.advance(_configuration_watcher.MAX_CHECK_WAIT_S)
+        request = gevent.spawn(watcher.use)
+        gevent.sleep(0.01)
+        self.assertTrue(request.ready())
+
     # Guards against calls to the store that nothing needs.
     def test_only_a_node_in_use_checks_and_not_more_often_than_due(
         self,
--- a/flamingolug/platform/tests/test_lost_responses.py
+++ b/flamingolug/platform/tests/test_lost_responses.py
@@ -59,13 +59,43 @@
     def test_version_is_applied_after_the_response_to_the_watch_was_lost(
         self,
     ) -> None:
+        self.lose_change(4, "fresh")
+        self.assert_served_within("fresh", _TOUCH_S)
+
+    def lose_change(self, version: int, route: str) -> None:
+        """Writes a version; the responses to the watches of it are lost."""
         kv = self.deployment.store
+        lost_before = kv.lost_responses
         kv.lose_watches = True
-        self.put(4, "fresh")
+        self.put(version, route)
         # Both nodes watch the configuration.
-        deployment.wait_until(lambda: kv.lost_responses == 2, "responses lost")
+        deployment.wait_until(
+            lambda: kv.lost_responses >= lost_before + 2, "responses lost"
+        )
         kv.lose_watches = False
-        self.assert_served_within("fresh", _TOUCH_S)
+
+    # Guards against the first requests after a pause, which are handled by the
+    # old version although they start the check that finds the new one.
+    def test_first_requests_after_a_pause_use_the_new_version(self) -> None:
+        self.lose_change(4, "fresh")
+        gevent.sleep(_TOUCH_S)
+        # Reports come in time, so calls to the server would be accepted.
+        self.front.server.report()
+        gevent.sleep(1.0)
+        calls = {
+            (route, number): gevent.spawn(
+                processes.ask_once,
+                self.front.outbound,
+                f"/{route}/x".encode(),
+                f"{route}-{number}",
+            )
+            for route in ("read", "fresh")
+            for number in range(4)
+        }
+        gevent.joinall(list(calls.values()))
+        for (route, number), call in calls.items():
+            with self.subTest(route, number=number):
+                self.assertEqual(call.value, 200 if route == "fresh" else 404)
 
     # Guards against attempts that begin before the end of a silence, and wait
     # longer than the node has to catch up.
