Read the configuration again when the history of a check is lost

Cause: a check asks for the changes since the last answer to the watch, which may be 28 s old; the store keeps 20 s and may drop its history sooner.

Change: a check whose history is lost reads the key, takes its revision also if it is lower, and restarts the watch. A check without changes moves on the revision from which the next one asks.

Paths read for the same cause: the check of the entries (a lost history restarts its watch with a list), the watches themselves (they read or list).

--- a/flamingolug/gateway/_configuration_watcher.py
+++ b/flamingolug/gateway/_configuration_watcher.py
@@ -144,13 +144,25 @@
 
         If the check is not answered either, the store's client ends the watch.
         """
+        history_lost = False
         try:
-            page = self._deps.store.watch(self._deps.key, self._after, 0.0)
+            try:
+                page = self._deps.store.watch(self._deps.key, self._after, 0.0)
+            except errors.HistoryLostError:
+                history_lost = True
+                page = self._deps.store.read(self._deps.key)
         except errors.StoreError as exc:
             telemetry.failure(_LOGGER, "configuration.not_checked", exc)
             return
         self._answered_at = self._deps.timers.now()
-        if page.as_of <= self._after or not page.items:
+        if history_lost:
+            # Any revision may follow, also a lower one.
+            self._after = -1
+        elif page.as_of <= self._after:
+            return
+        elif not page.items:
+            # The store keeps its history for a shorter time than a watch waits.
+            self._after = page.as_of
             return
         telemetry.event(
             _LOGGER,
--- a/flamingolug/platform/tests/test_lost_responses.py
+++ b/flamingolug/platform/tests/test_lost_responses.py
@@ -97,6 +97,21 @@
             with self.subTest(route, number=number):
                 self.assertEqual(call.value, 200 if route == "fresh" else 404)
 
+    # Guards against checks from a revision whose history the store has dropped,
+    # which find nothing until the watch ends by its own time-out.
+    def test_version_is_applied_if_the_history_of_the_check_is_lost(
+        self,
+    ) -> None:
+        kv = self.deployment.store
+        kv.lose_watches = True
+        kv.put("op/notes", b"x")
+        kv.drop_history()
+        # The configuration and the entries are watched by both nodes.
+        deployment.wait_until(lambda: kv.lost_responses == 4, "responses lost")
+        kv.lose_watches = False
+        self.put(4, "fresh")
+        self.assert_served_within("fresh", _TOUCH_S)
+
     # Guards against attempts that begin before the end of a silence, and wait
     # longer than the node has to catch up.
     def test_version_is_applied_after_the_store_was_silent(self) -> None:
