Treat a response with a status outside 100 to 599 as malformed

Cause: the parser accepts any three digits, and nothing else looked.

Change: such a response is malformed; its connection is closed and the outcome is unknown. The client of the demo product does the same.

Paths read for the same cause: lengths, chunk sizes, load reports and idle time-outs that a server states, the store's client, results on links.

--- a/flamingolug/http1/_parse.py
+++ b/flamingolug/http1/_parse.py
@@ -30,6 +30,8 @@
 )
 #: Statuses whose responses have neither a body nor a length.
 NO_BODY = (204, 304)
+#: Statuses that HTTP has; the parser accepts any three digits.
+STATUSES = range(100, 600)
 #: Maximum number of bytes outside the bodies of all responses to one request,
 #: interim ones included.
 MAX_RESPONSE_HEAD_BYTES = 128 * 1024
@@ -330,6 +332,9 @@
     def on_headers_complete(self) -> None:
         """Determines how the body is framed."""
         self._status = self._parser.get_status_code()
+        if self._status not in STATUSES:
+            # Stops the parser, see `RequestReader._reject`.
+            raise errors.CodecError(f"status {self._status}")
         if self._status < 200:
             return
         self._in_body = True
--- a/flamingolug/platform/tests/test_foreign_bytes.py
+++ b/flamingolug/platform/tests/test_foreign_bytes.py
@@ -1,5 +1,6 @@
 """Entries, reports and frames that no node or backend server has written."""
 
+import itertools
 import time
 import unittest
 
@@ -12,6 +13,7 @@
 from flamingolug import http1
 from flamingolug.gateway import _directory
 from flamingolug.gateway import _frames
+from flamingolug.gateway import _gate
 from flamingolug.gateway import _link
 from flamingolug.gateway import _model
 from flamingolug.platform import _configuration
@@ -315,6 +317,51 @@
                 self.assertEqual([each.status for each in answers], [200])
 
 
+class StatusTest(unittest.TestCase):
+    """Answers of a backend server whose status HTTP does not have."""
+
+    # Guards against an answer with status 000, which held the request and its
+    # slot until the deadline, and against one that is passed on as an answer.
+    def test_answer_with_an_impossible_status_is_no_answer(self) -> None:
+        test_deployment = deployment.Deployment(
+            ("front", "shelf"),
+            [documents.make_route("read", "shelf", Kind="non_idempotent")],
+        )
+        self.addCleanup(test_deployment.stop)
+        front, shelf = test_deployment.instances
+        gate = shelf.node.parts.get("gateway.gate", _gate.Gate)
+
+        def rewrite(status: bytes, is_framed: bool) -> None:
+            def change(req: http1.Request, data: bytes) -> bytes:
+                del req
+                data = data.replace(b"200 OK", status + b" OK")
+                if is_framed:
+                    return data
+                return data.replace(b"content-length", b"x-length")
+
+            shelf.server.rewrite_response = change
+
+        cases = itertools.product(
+            (b"000", b"001", b"099", b"600", b"999"), (True, False)
+        )
+        for status, is_framed in cases:
+            name = f"s{status.decode()}-{is_framed}"
+            with self.subTest(name):
+                # A server without recent reports gets no calls.
+                shelf.server.report()
+                rewrite(status, is_framed)
+                began_at = time.monotonic()
+                answer = deployment.send_request(front, "read", name, b"POST")
+                self.assertEqual(answer.status, 502)
+                self.assertLess(time.monotonic() - began_at, 1.0)
+                self.assertEqual(gate.slots.running, 0)
+                self.assertEqual(shelf.server.executed_ids.count(name), 1)
+        shelf.server.report()
+        shelf.server.rewrite_response = None
+        sound = deployment.send_request(front, "read", "sound", b"POST")
+        self.assertEqual(sound.body, b"body of sound")
+
+
 class ConnectTest(unittest.TestCase):
     # Guards against an exception that callers of a connection don't expect.
     def test_address_that_is_none_can_not_be_opened(self) -> None:
--- a/flamingolug/web/_client.py
+++ b/flamingolug/web/_client.py
@@ -24,6 +24,8 @@
 #: Maximum number of bytes of a response that are no body. Chunk headers may
 #: take as much again as the body.
 MAX_HEAD_BYTES = 131_072
+#: Statuses that HTTP has; the parser accepts any three digits.
+_STATUSES = range(100, 600)
 CONNECT_TIMEOUT_S = 1.0
 #: Seconds for which an unused connection may stay in the pool.
 MAX_IDLE_S = 30.0
@@ -197,7 +199,8 @@
     """Reads one response completely.
 
     Raises:
-        BackendError: the server closed the connection too early.
+        BackendError: the server closed the connection too early, or the status
+            is none of HTTP.
         BodyTooLargeError: the body exceeds `max_body_bytes`, or the rest of
             the response exceeds `MAX_HEAD_BYTES`.
     """
@@ -215,6 +218,13 @@
             )
         received += len(data)
         response.feed(data)
+        if response.headers_complete and response.status_code not in _STATUSES:
+            raise errors.BackendError(
+                f"status {response.status_code}",
+                step="read",
+                peer=peer,
+                sent=True,
+            )
         if received > MAX_HEAD_BYTES + 2 * len(body):
             raise errors.BodyTooLargeError(
                 f"response head or chunk headers pass {MAX_HEAD_BYTES} bytes",
--- a/flamingolug/web/tests/test_web.py
+++ b/flamingolug/web/tests/test_web.py
@@ -24,6 +24,12 @@
     "truncated body": b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
     "no response": b"",
     "not HTTP": b"hello\r\n\r\n",
+    "status that HTTP does not have": (
+        b"HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok"
+    ),
+    "interim status that HTTP does not have": (
+        b"HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    ),
     "truncated chunk": (
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"
     ),
