Test that empty lines without end are refused too

Reported of other systems: a faulty upstream sent bytes that were no answer, without end, and its node kept them until it ran out of memory. Here the head, the body and all bytes outside them are limited, and the incomplete responses of a node together (test_endless.py, with a node process for the memory). Empty lines before a head were not among the cases; the new one passes without a change.

--- a/flamingolug/platform/tests/test_endless.py
+++ b/flamingolug/platform/tests/test_endless.py
@@ -65,6 +65,7 @@
     "chunk extension": Case(
         _OK + b"transfer-encoding: chunked\r\n\r\n2;", b"e"
     ),
+    "empty lines": Case(b"", b"\r\n"),
     "body without length": Case(_OK + b"\r\n", b"z"),
     "body with length": Case(
         _OK + b"content-length: 99999999999\r\n\r\n", b"z"
