--- a/flamingolug/platform/tests/test_departures.py
+++ b/flamingolug/platform/tests/test_departures.py
@@ -1,8 +1,10 @@
 """Departures of upstreams that a node acknowledges, across its restart."""
 
 import functools
+import itertools
 import time
 import unittest
+from collections.abc import Callable
 
 import gevent
 
@@ -36,10 +38,6 @@
         self.front.wait()
         self.front.start()
 
-    def turn_away(self) -> None:
-        """Makes the store answer 503 to this node, and to no other one."""
-        self.deployment.store.turned_away.add(self.front.store_address)
-
     def assert_late_report_has_no_effect(self, report: bytes) -> None:
         self.front.server.post("heartbeat", report)
         # The entry would be in the store, and calls would be accepted.
@@ -100,18 +98,25 @@
     def test_departure_outlasts_a_kill_while_the_store_turns_the_node_away(
         self,
     ) -> None:
+        kv = self.deployment.store
+        (other,) = self.deployment.instances
         leave = self.front.server.deregister
         drain = functools.partial(self.front.server.report, "draining")
-        for depart in (leave, drain):
-            with self.subTest(depart):
+        departures: tuple[Callable[[], int], ...] = (leave, drain)
+        # The store answers 503 to this node, or nothing, and serves the other.
+        cases = itertools.product(departures, (kv.turned_away, kv.silent_at))
+        for number, (depart, disturbed) in enumerate(cases):
+            with self.subTest(number=number):
                 report = self.make_late_report()
-                self.turn_away()
+                # A node whose server does not report is not in the directory.
+                other.server.report()
+                disturbed.add(self.front.store_address)
                 self.assertEqual(depart(), 200)
                 self.front.kill()
-                self.deployment.store.turned_away.clear()
+                disturbed.clear()
                 self.front.start()
                 self.assert_late_report_has_no_effect(report)
-                self.front.server.start_time_ms += 60_000
+                self.front.server.start_time_ms += 1
                 self.assertEqual(self.front.server.report("ready"), 200)
 
     # Guards against an acknowledgement without a record, while the store
@@ -144,7 +149,7 @@
         self.assertEqual(self.front.server.deregister(), 200)
         record = self.front.stored_entry()
         self.front.kill()
-        self.turn_away()
+        self.deployment.store.turned_away.add(self.front.store_address)
         self.front.start_without_configuration()
         self.assertEqual(self.front.server.post("heartbeat", report), 503)
         self.deployment.store.turned_away.clear()
--- a/flamingolug_standins/leased_store.py
+++ b/flamingolug_standins/leased_store.py
@@ -32,6 +32,7 @@
             are answered with 503, so that nodes that use another address are
             served.
         silent: responses are lost while it is set; requests have no effect.
+        silent_at: addresses, as HOST:PORT, at which the store is silent.
         lose_watches: responses to watches are lost while it is set.
         lose_answers: POST requests take effect and are not answered while it
             is set.
@@ -52,6 +53,7 @@
         self.down = False
         self.turned_away: set[str] = set()
         self.silent = False
+        self.silent_at: set[str] = set()
         self.lose_watches = False
         self.lost_responses = 0
         self.lose_answers = False
@@ -126,7 +128,7 @@
     def _handle(self, req: http1.Request) -> _Response:
         path, _, query = req.target.decode().partition("?")
         self.calls[path] = self.calls.get(path, 0) + 1
-        if self.silent:
+        if self._is_silent(req):
             self._lose_response()
         if self.delay_s:
             gevent.sleep(self.delay_s)
@@ -137,7 +139,7 @@
         response = self._route(req.method.decode(), path, args, body)
         while self.lose_answers and req.method == b"POST":
             gevent.sleep(0.05)
-        if self.silent or (self.lose_watches and path == _WATCH_PATH):
+        if self._is_silent(req) or (self.lose_watches and path == _WATCH_PATH):
             self._lose_response()
         if self._is_rejected(req) and path == _WATCH_PATH:
             return 503, [], b""
@@ -146,6 +148,9 @@
     def _is_rejected(self, req: http1.Request) -> bool:
         return self.down or req.header(b"host").decode() in self.turned_away
 
+    def _is_silent(self, req: http1.Request) -> bool:
+        return self.silent or req.header(b"host").decode() in self.silent_at
+
     def _lose_response(self) -> NoReturn:
         """Never returns, so that the connection returns nothing further."""
         self.lost_responses += 1
