Answer the first draining report of a process without waiting for entries

Only a report in state ready may bring back an upstream that has left. A draining report waited up to 0.5 s for the entries and then up to 0.8 s for its record, longer than the second after which it counts as failed.

--- a/flamingolug/gateway/_control_server.py
+++ b/flamingolug/gateway/_control_server.py
@@ -23,9 +23,8 @@
 #: Further seconds in which other nodes may write it. The sum is below the one
 #: second after which the notice or report is treated as failed.
 PEER_RECORD_WAIT_S = 0.55
-#: Seconds for which a report waits at most, if the gate has none yet, until the
-#: node knows the entries; that of the upstream shows whether the report is
-#: outdated.
+#: Seconds for which the first report `ready` of an upstream waits until the
+#: node knows the entries; they show whether the report is outdated.
 ENTRIES_WAIT_S = 0.5
 
 
@@ -123,22 +122,37 @@
                 target=req.target.decode("latin-1"),
             )
             return 400
-        known = deps.gate.report
-        if known is None or known.id != report.id:
-            informed = deps.directory.informed.wait(ENTRIES_WAIT_S)
-            if report.state is _model.UpstreamState.READY and not informed:
-                # It may be late, from an upstream that has left since.
-                gevent.spawn(self._accept_when_informed, report)
-                telemetry.event(
-                    _LOGGER,
-                    "report.unverified",
-                    level=logging.WARNING,
-                    upstream=report.id,
-                    sequence=report.sequence,
-                )
-                return 503
+        if not self._wait_until_verifiable(report):
+            gevent.spawn(self._accept_when_informed, report)
+            telemetry.event(
+                _LOGGER,
+                "report.unverified",
+                level=logging.WARNING,
+                upstream=report.id,
+                sequence=report.sequence,
+            )
+            return 503
         return self._accept(report)
 
+    def _is_first(self, report: _model.Report) -> bool:
+        """Returns whether a report is of another upstream than the one in use.
+
+        Any report is if none is in use.
+        """
+        known = self._deps.gate.report
+        return known is None or known.id != report.id
+
+    def _wait_until_verifiable(self, report: _model.Report) -> bool:
+        """Returns whether it can be known that a report is not outdated.
+
+        The first report `ready` of an upstream may be late, from one that has
+        left since.
+        """
+        is_ready = report.state is _model.UpstreamState.READY
+        if not (is_ready and self._is_first(report)):
+            return True
+        return bool(self._deps.directory.informed.wait(ENTRIES_WAIT_S))
+
     def _accept_when_informed(self, report: _model.Report) -> None:
         """Handles a report later, unless the next one is due before."""
         deps = self._deps
@@ -148,9 +162,7 @@
     def _accept(self, report: _model.Report) -> int:
         """Handles a report unless it is outdated; returns the status."""
         deps = self._deps
-        known = deps.gate.report
-        is_first = known is None or known.id != report.id
-        if is_first and self._is_outdated(report):
+        if self._is_first(report) and self._is_outdated(report):
             telemetry.event(
                 _LOGGER,
                 "report.outdated",
--- a/flamingolug/gateway/_departure_records.py
+++ b/flamingolug/gateway/_departure_records.py
@@ -28,7 +28,8 @@
 from flamingolug.gateway import _model
 
 _LOGGER = logging.getLogger(__name__)
-#: Seconds between renewals of its lease.
+#: Seconds between renewals of the lease of a record. A node renews that of its
+#: own upstream's record, and does not renew those that it writes for peers.
 RENEWAL_INTERVAL_S = 20.0
 #: Nodes that are asked at once: the store may turn away a third of a fleet.
 NODES_PER_ROUND = 3
