--- a/flamingolug/gateway/_announcer.py
+++ b/flamingolug/gateway/_announcer.py
@@ -26,6 +26,9 @@
 LEASE_TTL_S = 8.0
 #: Seconds between renewals: two may fail before the lease ends.
 RENEWAL_INTERVAL_S = 2.5
+#: Longest mean wait, seconds, between attempts to write a departure during a
+#: stop, of which each second counts.
+STOP_RETRY_WAIT_S = 0.2
 
 
 class Dependencies(NamedTuple):
@@ -167,14 +170,19 @@
                 self._handle_lost_lease()
             except errors.StoreConflictError as exc:
                 telemetry.failure(_LOGGER, "announcement.conflict", exc)
-                backoff.wait(exc)
+                backoff.wait(exc, self._longest_wait_s())
                 self._wake.set()
             except errors.StoreError as exc:
-                backoff.wait(exc)
+                backoff.wait(exc, self._longest_wait_s())
                 self._wake.set()
             else:
                 backoff.reset()
 
+    def _longest_wait_s(self) -> float:
+        if self._withdrawn and self.has_unwritten_departure:
+            return STOP_RETRY_WAIT_S
+        return _backoff.MAX_WAIT_S
+
     def _handle_lost_lease(self) -> None:
         """Forgets both leases: the answer does not say which has ended."""
         for lease in (self._ready_lease, self._departure_lease):
--- a/flamingolug/gateway/_backoff.py
+++ b/flamingolug/gateway/_backoff.py
@@ -31,8 +31,15 @@
         self._wait_s = INITIAL_WAIT_S
         self._store_lost = False
 
-    def wait(self, exc: errors.StoreError) -> None:
-        """Waits after a failure, longer each time."""
+    def wait(
+        self, exc: errors.StoreError, longest_s: float = MAX_WAIT_S
+    ) -> None:
+        """Waits after a failure, longer each time.
+
+        Args:
+            exc: the failure.
+            longest_s: upper bound of the mean wait, seconds.
+        """
         if not self._store_lost:
             self._store_lost = True
             telemetry.event(
@@ -43,7 +50,8 @@
                 step=exc.step,
                 error=exc.message,
             )
-        gevent.sleep(self._wait_s * (0.5 + random.random()))
+        wait_s = min(self._wait_s, longest_s)
+        gevent.sleep(wait_s * (0.5 + random.random()))
         self._wait_s = min(self._wait_s * _WAIT_GROWTH, MAX_WAIT_S)
 
     def reset(self) -> None:
--- a/flamingolug/gateway/tests/test_announcer.py
+++ b/flamingolug/gateway/tests/test_announcer.py
@@ -17,6 +17,7 @@
 from flamingolug import errors
 from flamingolug import store
 from flamingolug.gateway import _announcer
+from flamingolug.gateway import _backoff
 from flamingolug.gateway import _departures
 from flamingolug.gateway import _directory
 from flamingolug.gateway import _model
@@ -36,6 +37,8 @@
         #: Value that `read` returns.
         self.value = b""
         self.lose_answers = 0
+        #: Whether no lease is granted.
+        self.down = False
         #: Called before each write.
         self.before_write: Callable[[], object] = lambda: None
         #: Times to live of the leases granted, seconds.
@@ -48,6 +51,8 @@
     def grant_lease(self, ttl_s: float) -> int:
         """Returns a lease."""
         self.granted_s.append(ttl_s)
+        if self.down:
+            raise errors.StoreUnavailableError("down", step="t", peer="t")
         return len(self.granted_s)
 
     def end_lease(self, lease: int) -> None:
@@ -205,6 +210,22 @@
         self.assertTrue(announcer.has_departure(departed))
         self.assertFalse(announcer.has_departure(departed._replace(id="u2")))
 
+    # Guards against a stop that ends before a departure is written, since the
+    # waits between attempts have grown while the store was away.
+    def test_departure_is_tried_often_during_a_stop(self) -> None:
+        kv = _Store(0)
+        kv.down = True
+        announcer = self.start_announcer(kv)
+        announcer.publish()
+        gevent.sleep(2.0)
+        self.leave(_model.UpstreamState.GONE)
+        announcer.withdraw()
+        # The longest wait that may be in progress.
+        gevent.sleep(_backoff.MAX_WAIT_S * 1.5)
+        before = len(kv.granted_s)
+        gevent.sleep(1.0)
+        self.assertGreaterEqual(len(kv.granted_s) - before, 3)
+
     # Guards against a record that is removed with the lease of the node.
     def test_departure_has_a_lease_of_its_own(self) -> None:
         for state in (
