--- a/flamingolug/gateway/tests/test_departure_records.py
+++ b/flamingolug/gateway/tests/test_departure_records.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 from typing import Any
 from typing import cast
+from unittest import mock
 
 import gevent
 
@@ -156,6 +157,29 @@
         self.assertFalse(self.request(kv, _READY))
         self.assertIsNone(kv.stored)
 
+    # Guards against a frame of another form that ends a link, or is recorded.
+    def test_odd_departure_has_no_effect(self) -> None:
+        valid = _directory.encode_entry(_GONE)
+        odd = {
+            "other key": ("k", valid),
+            "no entry": (_directory.PREFIX + "u1", b""),
+            "nested deeply": (_directory.PREFIX + "u1", b"[" * 100_000),
+            "port too large": (
+                _directory.PREFIX + "u1",
+                valid.replace(b",9,", b",99999,"),
+            ),
+        }
+        for name, (key, value) in odd.items():
+            with self.subTest(name):
+                kv = _Store(_READY)
+                confirm = mock.Mock()
+                self.make_records(kv).handle_frame(
+                    _frames.DepartureFrame(1, key, value), confirm
+                )
+                gevent.sleep(0.01)
+                self.assertEqual(kv.stored, _READY)
+                confirm.assert_not_called()
+
     # Guards against a request to all nodes of a fleet, and against one that
     # ends at the first nodes, which the store may turn away as well.
     def test_few_nodes_are_asked_at_once_and_linked_ones_first(self) -> None:
