--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,7 @@
 """A configuration that is stored right after a drill is never in force."""
 
 import pathlib
+import signal
 import sys
 
 import gevent
@@ -14,6 +15,10 @@
 
 #: Seconds for which the store is away.
 AWAY_S = 2.0
+#: Seconds from the removal of a machine to the drill.
+BEFORE_DRILL_S = 3.5
+#: Seconds from the return of the store to the change that the operator stores.
+OPERATOR_DELAY_S = 0.0
 
 
 def play(case: harness_3.Case) -> bool:
@@ -23,25 +28,24 @@
     case.configure(3, old)
     east = case.add_machine("east")
     west = case.add_machine("west")
-    for machine in (east, west):
+    removed = case.add_machine("east")
+    staying = (east, west)
+    for machine in case.machines:
         machine.wait_ready()
         machine.report_regularly()
         case.wait_entry(machine)
     clients = [
-        harness_3.Client(machine, "read", case.record)
-        for machine in (east, west)
+        harness_3.Client(machine, "read", case.record) for machine in staying
     ]
     gevent.sleep(6.0)
     copy = case.store.copy()
     case.record.write(f"copy of the store at revision {copy.revision}", True)
-    # An upstream is added.
-    gevent.sleep(0.3)
-    added = case.add_machine("east")
-    added.wait_ready()
-    added.report_regularly()
-    case.wait_entry(added)
-    clients.append(harness_3.Client(added, "read", case.record))
-    gevent.sleep(4.0)
+    # A machine is removed.
+    removed.reporting = False
+    removed.signal(signal.SIGTERM)
+    removed.wait_end()
+    removed.upstream.stop()
+    gevent.sleep(BEFORE_DRILL_S)
     case.record.write(f"store at revision {case.store.revision}", True)
     if case.trouble:
         case.record.write("store goes away", True)
@@ -53,6 +57,7 @@
             f"{case.store.revision}",
             True,
         )
+    gevent.sleep(OPERATOR_DELAY_S)
     case.configure(5, new)
     acknowledged_at = case.record.now()
     # The bound of the configuration, stretched by an unstable store.
@@ -62,11 +67,7 @@
     gevent.sleep(judged_from - case.record.now() + 15.0)
     for client in clients:
         client.stop()
-    ran_old = {
-        each
-        for machine in (east, added)
-        for each in machine.upstream.executed_ids
-    }
+    ran_old = set(east.upstream.executed_ids)
     judged = [
         each
         for client in clients
@@ -74,7 +75,7 @@
         if each.sent_at > judged_from
     ]
     late = [each for each in judged if each.id in ran_old]
-    for machine in case.machines:
+    for machine in staying:
         case.record.write(
             f"{machine.name}: {sum(e.machine == machine.name for e in late)} "
             f"of {sum(e.machine == machine.name for e in judged)} requests "
