--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -250,9 +250,21 @@
         store: DrillStore,
         record: Record,
         folder: pathlib.Path,
+        *,
+        own_store_address: bool = False,
     ) -> None:
-        """Starts the upstream, without liveness reports, and the node."""
+        """Starts the upstream, without liveness reports, and the node.
+
+        With `own_store_address`, the node calls the store at an address that no
+        other node uses, so that the store can turn it away.
+        """
         self.host = f"127.0.77.{number}"
+        store_host, store_port = store.address
+        if own_store_address:
+            store_host = f"127.0.77.{100 + number}"
+            store.listen_at(store_host)
+        #: HOST:PORT at which the node calls the store.
+        self.store_address = f"{store_host}:{store_port}"
         self.name = f"sidecar-{number}"
         self.outbound = (self.host, free_port(self.host))
         self.ready = (self.host, free_port(self.host))
@@ -277,7 +289,7 @@
                 outbound=self.outbound[1],
                 ready=self.ready[1],
                 control=control[1],
-                store=f"{store.address[0]}:{store.address[1]}",
+                store=self.store_address,
             )
         )
         self._environment = os.environ | {"FLAMINGOLUG_BOOT": str(path)}
@@ -489,7 +501,9 @@
         self.machines: list[Machine] = []
         self._scratch = scratch
 
-    def add_machine(self, service: str) -> Machine:
+    def add_machine(
+        self, service: str, own_store_address: bool = False
+    ) -> Machine:
         """Starts a machine; its upstream does not report yet."""
         machine = Machine(
             len(self.machines) + 10,
@@ -497,6 +511,7 @@
             self.store,
             self.record,
             self._scratch,
+            own_store_address=own_store_address,
         )
         self.machines.append(machine)
         return machine
