--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -41,6 +41,9 @@
 GRACE_S = 6.0
 HEARTBEAT_S = 1.5
 _START_TIMEOUT_S = 20.0
+#: Loopback network of this script, so that scripts may run at the same time.
+_NET = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}"
+_PORTS = iter(range(20_000, 30_000))
 _SETTINGS = """\
 NodeName = "{name}"
 Role = "node"
@@ -128,11 +131,19 @@
 
 
 def free_port(host: str) -> int:
-    """Returns a free TCP port of a loopback host."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Returns a free TCP port of a loopback host.
+
+    The ports are below those of outgoing connections, and none is returned
+    twice.
+    """
+    for port in _PORTS:
+        with socket.socket() as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+            return port
+    raise OSError("no free port")
 
 
 class Copy(NamedTuple):
@@ -258,10 +269,10 @@
         With `own_store_address`, the node calls the store at an address that no
         other node uses, so that the store can turn it away.
         """
-        self.host = f"127.0.77.{number}"
+        self.host = f"{_NET}.{number}"
         store_host, store_port = store.address
         if own_store_address:
-            store_host = f"127.0.77.{100 + number}"
+            store_host = f"{_NET}.{100 + number}"
             store.listen_at(store_host)
         #: HOST:PORT at which the node calls the store.
         self.store_address = f"{store_host}:{store_port}"
@@ -497,7 +508,7 @@
         #: Whether the case plays the disruption.
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = record
-        self.store = DrillStore("127.0.77.1")
+        self.store = DrillStore(f"{_NET}.1")
         self.machines: list[Machine] = []
         self._scratch = scratch
 
