--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,4 @@
-"""After a drill, nodes ignore the entry of an upstream that joined before.
-
-The node of the upstream is killed during the drill and started again.
-"""
+"""A restarted node believes a peer that does not know of a departure."""
 
 import pathlib
 import signal
@@ -16,94 +13,95 @@
 
 from flamingolug_standins import documents  # noqa: E402
 
-#: Seconds for which the store is away.
-AWAY_S = 1.0
-#: Number of configurations in quick succession, and seconds between them.
-STORM_VERSIONS = 5
-STORM_GAP_S = 0.33
+#: Seconds for which the store turns two of seven machines away.
+TURNED_AWAY_S = 9.0
+#: Seconds from the leave notice to the kill of the node, and to its next start.
+BEFORE_KILL_S = 0.5
+DOWN_S = 0.5
+#: Seconds from that start to the arrival of the late report.
+REPORT_AFTER_S = 1.5
+#: Seconds for which the upstream serves after its leave notice.
+SERVES_S = 12.0
 
 
 def play(case: harness_3.Case) -> bool:
-    """Returns whether requests on an added route are hardly served."""
-    first = [documents.make_route("read", "front")]
-    case.configure(3, first)
-    fronts = [case.add_machine("front"), case.add_machine("front")]
-    for machine in fronts:
+    """Returns whether requests reach an upstream that has left."""
+    routes = [
+        documents.make_route(service, service)
+        for service in ("east", "mid", "front")
+    ]
+    case.configure(3, routes)
+    leaving = case.add_machine("east", True)
+    uninformed = case.add_machine("front", True)
+    others = [case.add_machine("east", True)]
+    others += [case.add_machine("mid", True) for _ in range(4)]
+    for machine in case.machines:
         machine.wait_ready()
         machine.report_regularly()
         case.wait_entry(machine)
-    clients = [
-        harness_3.Client(machine, "read", case.record) for machine in fronts
+    own_clients = [
+        harness_3.Client(leaving, route, case.record)
+        for route in ("east", "mid")
     ]
-    joining = case.add_machine("late")
-    joining.wait_ready()
-    gevent.sleep(3.0)
-    copy = case.store.copy()
-    case.record.write(f"copy of the store at revision {copy.revision}", True)
-    for version in range(4, 4 + STORM_VERSIONS):
-        case.configure(version, first)
-        gevent.sleep(STORM_GAP_S)
-    # An upstream is added.
-    joining.report_regularly()
-    case.wait_entry(joining)
-    case.record.write(f"upstream added, revision {case.store.revision}", True)
-    gevent.sleep(2.0)
-    version = 3 + STORM_VERSIONS
-    joining.signal(signal.SIGKILL)
-    joining.wait_end()
+    # Clients of this machine use the service beside it only, so far.
+    harness_3.Client(uninformed, "front", case.record)
+    gevent.sleep(6.0)
+    upstream = leaving.upstream
+    # The last liveness report is sent and delayed on its way.
+    leaving.reporting = False
+    gevent.sleep(harness_3.HEARTBEAT_S)
+    upstream.sequence += 1
+    late_report = upstream.make_report("ready")
+    case.record.write(f"report {upstream.sequence} sent, delayed", True)
     if case.trouble:
-        case.record.write("store goes away", True)
-        case.store.go_away()
-        gevent.sleep(AWAY_S)
-        case.store.come_back(copy)
-        case.record.write(
-            f"store is back, era {case.store.era}, revision "
-            f"{case.store.revision}",
-            True,
-        )
-        # What the operator wrote is written again.
-        case.configure(version, first)
-    else:
-        gevent.sleep(AWAY_S)
-    joining.start()
-    joining.wait_ready()
-    case.wait_entry(joining)
-    gevent.sleep(5.0)
-    key = f"fl/upstreams/{joining.upstream.id}"
+        case.store.turned_away = {
+            leaving.store_address,
+            uninformed.store_address,
+        }
+        case.record.write("store turns two machines away", True)
+        # The store ends the watches that wait.
+        gevent.sleep(1.0)
+        gevent.spawn_later(TURNED_AWAY_S - 1.0, case.store.turned_away.clear)
+    status = upstream.deregister()
+    left_at = case.record.now()
+    case.record.write(f"leave notice of {upstream.id} got {status}", True)
+    if status != 200:
+        raise TimeoutError("the leave notice was not acknowledged")
+    gevent.sleep(BEFORE_KILL_S)
+    leaving.signal(signal.SIGKILL)
+    leaving.wait_end()
+    gevent.sleep(DOWN_S)
+    leaving.start()
+    in_touch_at = case.record.now() + harness_3.TOUCH_S
+    # From now on clients of the other machine use the service too.
+    harness_3.Client(uninformed, "east", case.record)
+    gevent.sleep(REPORT_AFTER_S)
+    status = upstream.post("heartbeat", late_report)
     case.record.write(
-        f"entry of the added upstream in the store: "
-        f"{case.store.get(key) is not None}, revision {case.store.revision}",
+        f"report {upstream.sequence} arrives "
+        f"{case.record.now() - left_at:.1f} s late, got {status}",
         True,
     )
-    added = documents.make_route("added", "late")
-    case.configure(version + 1, [*first, added])
-    gevent.sleep(
-        harness_3.CONFIG_APPLY_S + harness_3.OUTER_S + harness_3.TOUCH_S
-    )
-    judged_from = case.record.now()
-    clients += [
-        harness_3.Client(machine, "added", case.record) for machine in fronts
-    ]
-    gevent.sleep(15.0)
-    for client in clients:
+    gevent.sleep(left_at + SERVES_S - case.record.now())
+    for client in own_clients:
         client.stop()
-    share = {}
-    for route in ("read", "added"):
-        sent = [
-            each
-            for client in clients
-            for each in client.sent
-            if each.sent_at > judged_from and f"-{route}-" in each.id
-        ]
-        served = sum(each.status == 200 for each in sent)
-        statuses = sorted({each.status for each in sent})
-        share[route] = served / max(len(sent), 1)
-        case.record.write(
-            f"route {route}: {served} of {len(sent)} requests served, "
-            f"answers {statuses}",
-            True,
-        )
-    return share["added"] < share["read"] / 4
+    ran = set(upstream.executed_ids)
+    judged_from = max(in_touch_at, left_at + harness_3.DRAIN_S)
+    late = [
+        each
+        for client in own_clients
+        for each in client.sent
+        if each.id in ran and each.sent_at > judged_from
+    ]
+    case.record.write(
+        f"{len(late)} requests of clients on the machine that acknowledged "
+        f"the leave reached the upstream over {judged_from - left_at:.1f} s "
+        f"after it, the last one "
+        f"{max((e.sent_at for e in late), default=left_at) - left_at:.1f} s, "
+        f"answered {sorted({each.status for each in late})}",
+        True,
+    )
+    return bool(late)
 
 
 if __name__ == "__main__":
