--- a/review/11/case.py
+++ b/review/11/case.py
@@ -15,8 +15,8 @@
 
 #: Seconds for which the store is away.
 AWAY_S = 2.0
-#: Seconds from the removal of a machine to the drill.
-BEFORE_DRILL_S = 3.5
+#: Seconds from the end of a removed machine to the drill.
+BEFORE_DRILL_S = 0.5
 #: Seconds from the return of the store to the change that the operator stores.
 OPERATOR_DELAY_S = 0.0
 
@@ -40,11 +40,16 @@
     gevent.sleep(6.0)
     copy = case.store.copy()
     case.record.write(f"copy of the store at revision {copy.revision}", True)
-    # A machine is removed.
+    # A machine is removed: its upstream leaves and ends, then its node.
     removed.reporting = False
+    status = removed.upstream.deregister()
+    case.record.write(f"leave notice got {status}", True)
+    if status != 200:
+        raise TimeoutError("the leave notice was not acknowledged")
+    gevent.sleep(harness_3.DRAIN_S + 0.5)
+    removed.upstream.stop()
     removed.signal(signal.SIGTERM)
     removed.wait_end()
-    removed.upstream.stop()
     gevent.sleep(BEFORE_DRILL_S)
     case.record.write(f"store at revision {case.store.revision}", True)
     if case.trouble:
