Make an era part of every position of the store

All requests were handled by the version before.

Cause: revisions were taken as ever rising. The store gave out the revision that the watch had reached again, so it did not answer 410, and the watch and its checks waited for a later one. Ruled out: a lost response, and the comparison of versions.

Change: the client of the store reads the era in all answers. Positions and leases carry it; those of a former era are not sent, and answers of one are discarded. A new era ends the watches, which read their keys again. A stopping node removes its entry under a condition in place of the end of its lease, whose number may belong to another node.

The stand-in store makes copies, returns from them, gives out revisions and leases again and shows the era.

--- a/flamingolug/gateway/_announcer.py
+++ b/flamingolug/gateway/_announcer.py
@@ -66,9 +66,9 @@
         self._written: _model.Upstream | None = None
         #: Whether an upstream in use is no longer announced.
         self._withdrawn = False
-        #: Revision of the entry that this node wrote last, by its key; empty
+        #: Position of the entry that this node wrote last, by its key; empty
         #: if it must be read from the store.
-        self._revisions: dict[str, int] = {}
+        self._positions: dict[str, store.Position] = {}
         #: Keys that this node has tried to write.
         self._attempted_keys: set[str] = set()
         #: Set when the entry in the store is up to date.
@@ -123,7 +123,7 @@
         written = self._written
         if written is not None and key == _directory.PREFIX + written.id:
             self._written = None
-            self._revisions.clear()
+            self._positions.clear()
             self._wake.set()
 
     def withdraw(self) -> None:
@@ -185,17 +185,18 @@
 
     def _handle_lost_lease(self) -> None:
         """Forgets both leases: the answer does not say which has ended."""
-        for lease in (self._ready_lease, self._departure_lease):
-            if lease.number:
+        for held in (self._ready_lease, self._departure_lease):
+            if held.lease is not None:
                 telemetry.event(
                     _LOGGER,
                     "lease.lost",
-                    lease=lease.number,
-                    age_s=round(lease.age_s, 2),
+                    era=held.lease.era,
+                    lease=held.lease.number,
+                    age_s=round(held.age_s, 2),
                 )
-            lease.forget()
+            held.forget()
         self._written = None
-        self._revisions.clear()
+        self._positions.clear()
         self._wake.set()
 
     def _update_store(self) -> None:
@@ -204,27 +205,45 @@
         if desired is None:
             return
         if desired.state is not _model.UpstreamState.READY:
-            lease, unused = self._departure_lease, self._ready_lease
+            held, unused = self._departure_lease, self._ready_lease
         elif self._withdrawn:
-            self._ready_lease.end()
-            self._written = None
-            self._revisions.clear()
+            self._remove(desired)
             return
         else:
-            lease, unused = self._ready_lease, self._departure_lease
-        lease.hold()
+            held, unused = self._ready_lease, self._departure_lease
+        lease = held.hold()
         if not self._is_written(desired):
-            self._write(desired, lease.number)
+            self._write(desired, lease)
         unused.forget()
         current = self.make_entry()
         # The upstream may have reported again during the calls.
         if current is not None and self._is_written(current):
             self._published.set()
 
-    def _write(self, desired: _model.Upstream, lease: int) -> None:
+    def _remove(self, upstream: _model.Upstream) -> None:
+        """Removes the entry of an upstream in use, if this node wrote one.
+
+        The lease then lapses. Its end would also remove what another holder of
+        its number has written since the store returned from a copy.
+        """
+        if self._ready_lease.lease is None:
+            return
+        key = _directory.PREFIX + upstream.id
+        stored, position = self._find_stored(key)
+        # If the answer is lost, the key's position is read again.
+        self._positions.clear()
+        self._written = None
+        departed = stored is not None and _departures.is_departed(
+            stored, upstream
+        )
+        if position != store.NO_POSITION and not departed:
+            self._deps.store.delete(key, position)
+        self._ready_lease.forget()
+
+    def _write(self, desired: _model.Upstream, lease: store.Lease) -> None:
         key = _directory.PREFIX + desired.id
         value = _directory.encode_entry(desired)
-        stored, revision = self._find_stored(key)
+        stored, position = self._find_stored(key)
         is_ready = desired.state is _model.UpstreamState.READY
         if is_ready and stored and _departures.is_departed(stored, desired):
             # An earlier process of this node has acknowledged the departure.
@@ -237,11 +256,11 @@
         replaced = written is not None and written.id != desired.id
         if written is not None and replaced and written.state is not gone:
             deletes.append(_directory.PREFIX + written.id)
-        # If the answer to the write is lost, the key's revision is read again
+        # If the answer to the write is lost, the key's position is read again
         # before the next attempt.
-        self._revisions.clear()
-        self._revisions[key] = self._deps.store.write(
-            key, value, revision, lease, deletes
+        self._positions.clear()
+        self._positions[key] = self._deps.store.write(
+            key, value, position, lease, deletes
         )
         self._written = desired
         telemetry.event(
@@ -249,11 +268,13 @@
             "announcement.written",
             upstream=desired.id,
             state=desired.state,
-            lease=lease,
+            lease=lease.number,
         )
 
-    def _find_stored(self, key: str) -> tuple[_model.Upstream | None, int]:
-        """Returns the entry in the store and its revision, 0 for none.
+    def _find_stored(
+        self, key: str
+    ) -> tuple[_model.Upstream | None, store.Position]:
+        """Returns the entry in the store and its position.
 
         The entry is None too if this node has written it.
 
@@ -261,16 +282,18 @@
         call to the store for each node that starts. If that is outdated, the
         write conflicts and the next one reads the entry.
         """
-        revision = self._revisions.get(key)
-        if revision is not None:
-            return None, revision
+        position = self._positions.get(key)
+        if position is not None:
+            return None, position
         if key not in self._attempted_keys:
             self._attempted_keys.add(key)
             entry = self._deps.find_entry(key)
-            return (entry.upstream, entry.revision) if entry else (None, 0)
+            if entry is None:
+                return None, store.NO_POSITION
+            return entry.upstream, entry.position
         items = self._deps.store.read(key).items
         if not items:
-            return None, 0
+            return None, store.NO_POSITION
         value = items[0].value
         stored = _directory.decode_entry(key, value) if value else None
-        return stored, items[0].revision
+        return stored, items[0].position
--- a/flamingolug/gateway/_configuration_watcher.py
+++ b/flamingolug/gateway/_configuration_watcher.py
@@ -57,8 +57,9 @@
         self.used_at = 0.0
         self._deps = deps
         self._task: gevent.Greenlet[[], None] | None = None
-        #: Revision up to which all changes have been received, -1 for none.
-        self._after = -1
+        #: Position up to which all changes have been received, None before the
+        #: first answer of the store and after a loss of its history.
+        self._after: store.Position | None = None
         #: Clock reading of the last answer of the store to a watch or check.
         self._answered_at = 0.0
         #: Set unless a check is in progress.
@@ -88,7 +89,7 @@
         return self.active
 
     def _check_if_due(self, now: float) -> None:
-        if not self.following or self._after < 0 or now < self._look_at:
+        if not self.following or self._after is None or now < self._look_at:
             return
         self._look_at = now + CHECK_LOOK_INTERVAL_S
         age_s = now - self._answered_at
@@ -144,10 +145,14 @@
 
         If the check is not answered either, the store's client ends the watch.
         """
+        after = self._after
+        if after is None:
+            # The watch is reading the key again.
+            return
         history_lost = False
         try:
             try:
-                page = self._deps.store.watch(self._deps.key, self._after, 0.0)
+                page = self._deps.store.watch(self._deps.key, after, 0.0)
             except errors.HistoryLostError:
                 history_lost = True
                 page = self._deps.store.read(self._deps.key)
@@ -155,22 +160,26 @@
             telemetry.failure(_LOGGER, "configuration.not_checked", exc)
             return
         self._answered_at = self._deps.timers.now()
-        if history_lost:
-            # Any revision may follow, also a lower one.
-            self._after = -1
-        elif page.as_of <= self._after:
-            return
-        elif not page.items:
-            # The store keeps its history for a shorter time than a watch waits.
-            self._after = page.as_of
-            return
+        if not history_lost:
+            if page.as_of <= after:
+                return
+            if not page.items:
+                # The store keeps its history for a shorter time than a watch
+                # waits.
+                self._after = max(page.as_of, self._after or page.as_of)
+                return
         telemetry.event(
             _LOGGER,
             "configuration.behind",
             level=logging.WARNING,
-            revision=self._after,
-            told=page.as_of,
+            era=after.era,
+            revision=after.revision,
+            told_era=page.as_of.era,
+            told=page.as_of.revision,
         )
+        if history_lost:
+            # Any revision may follow, also a lower one.
+            self._after = None
         self._apply(page)
         if self._task is not None:
             self._task.kill(block=False)
@@ -179,7 +188,7 @@
     def _apply(self, page: store.Page) -> None:
         """Activates what a page of the store has."""
         self._answered_at = self._deps.timers.now()
-        self._after = max(page.as_of, self._after)
+        self._after = max(page.as_of, self._after or page.as_of)
         for item in page.items:
             if item.key == self._deps.key and item.value is not None:
                 self.activate_if_newer(item.value, "store")
@@ -188,7 +197,7 @@
         backoff = _backoff.Backoff("configuration")
         while True:
             try:
-                if self._after < 0:
+                if self._after is None:
                     page = self._deps.store.read(self._deps.key)
                 else:
                     # After a failure, the first answer must not take long.
@@ -199,7 +208,7 @@
                         self._deps.key, self._after, wait_s
                     )
             except errors.HistoryLostError:
-                self._after = -1
+                self._after = None
                 continue
             except errors.StoreError as exc:
                 self.following = False
--- a/flamingolug/gateway/_departure_records.py
+++ b/flamingolug/gateway/_departure_records.py
@@ -93,7 +93,7 @@
     def _write_once(self, departed: _model.Upstream) -> None:
         key = _directory.PREFIX + departed.id
         items = self._deps.store.read(key).items
-        revision = items[0].revision if items else 0
+        position = items[0].position if items else store.NO_POSITION
         stored = None
         if items and items[0].value is not None:
             stored = _directory.decode_entry(key, items[0].value)
@@ -101,7 +101,7 @@
             return
         value = _directory.encode_entry(departed)
         lease = self._lease.hold()
-        self._deps.store.write(key, value, revision, lease)
+        self._deps.store.write(key, value, position, lease)
 
     def handle_frame(
         self, frame: _frames.DepartureFrame, confirm: Callable[[], object]
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -121,12 +121,14 @@
 
 
 class DirectoryEntry:
-    """Entry of one upstream, with its revision and when it lapsed."""
+    """Entry of one upstream, with its position and when it lapsed."""
 
-    def __init__(self, upstream: _model.Upstream, revision: int) -> None:
+    def __init__(
+        self, upstream: _model.Upstream, position: store.Position
+    ) -> None:
         """Creates an entry that is present in the store."""
         self.upstream = upstream
-        self.revision = revision
+        self.position = position
         #: When the entry disappeared from the store, None while it is present.
         self.lapsed_at: float | None = None
 
@@ -161,8 +163,8 @@
         self.lacks_entries = False
         #: Highest revision of an entry or removal received.
         self.revision = 0
-        #: Revision up to which all changes have been received from the store.
-        self._covered_revision = 0
+        #: Position up to which all changes have been received from the store.
+        self._covered = store.NO_POSITION
         #: Highest revision that a peer has reported.
         self._peer_revision = 0
         #: Since when a peer has reported a later revision than this node has,
@@ -221,7 +223,7 @@
 
         If the check is not answered either, the store's client ends the watch.
         """
-        after = self._covered_revision
+        after = self._covered
         try:
             page = self._deps.store.watch(PREFIX, after, 0.0)
             changes = len(page.items)
@@ -233,13 +235,13 @@
         finally:
             self._checking = False
         self._answered_at = self._deps.timers.now()
-        if not changes or after != self._covered_revision:
+        if not changes or after != self._covered:
             return
         telemetry.event(
             _LOGGER,
             "directory.lost_changes",
             level=logging.WARNING,
-            revision=after,
+            revision=after.revision,
             changes=changes,
         )
         self._restart()
@@ -297,14 +299,16 @@
             return None
         known = KnownEntries([], [])
         for key, entry in self._entries.items():
-            item = store.Item(key, encode_entry(entry.upstream), entry.revision)
+            item = store.Item(key, encode_entry(entry.upstream), entry.position)
             if entry.upstream.state is not _model.UpstreamState.READY:
                 known.departed.append(item)
-            elif entry.revision > after:
+            elif entry.position.revision > after:
                 known.ready.append(item)
         for departed in self._departures.list_all():
             value = encode_entry(departed)
-            known.departed.append(store.Item(PREFIX + departed.id, value, 0))
+            known.departed.append(
+                store.Item(PREFIX + departed.id, value, store.NO_POSITION)
+            )
         return known
 
     @property
@@ -316,7 +320,7 @@
         Everything up to it came from the store, or the ready entries of a peer
         were merged up to it.
         """
-        return max(self.revision, self._covered_revision)
+        return max(self.revision, self._covered.revision)
 
     def record_peer_revision(self, revision: int) -> bool:
         """Records the last revision that a peer has received.
@@ -387,19 +391,20 @@
                 self.record_departure(departed)
         self.informed.set()
         after = self.complete_revision
-        newer = [item for item in known.ready if item.revision > after]
+        newer = [item for item in known.ready if item.position.revision > after]
         if not newer:
             return
         self.lacks_entries = False
         telemetry.event(_LOGGER, "directory.from_peer", entries=len(newer))
         for item in newer:
             self.apply(item)
-            self.revision = max(self.revision, item.revision)
+            self.revision = max(self.revision, item.position.revision)
 
     def apply(self, item: store.Item) -> None:
         """Applies one entry or its removal, unless it is outdated."""
         entry = self._entries.get(item.key)
-        if entry is not None and item.revision < entry.revision:
+        revision = item.position.revision
+        if entry is not None and revision < entry.position.revision:
             return
         if item.value is None:
             self._handle_removal(item.key)
@@ -411,8 +416,8 @@
         if entry is not None:
             # The upstream may have a new address.
             self._delete(item.key)
-        self._delete_predecessors(upstream, item.revision)
-        self._entries[item.key] = DirectoryEntry(upstream, item.revision)
+        self._delete_predecessors(upstream, revision)
+        self._entries[item.key] = DirectoryEntry(upstream, item.position)
         self._keys_by_address.setdefault(_address(upstream), set()).add(
             item.key
         )
@@ -424,7 +429,7 @@
             service=upstream.service,
             peer=f"{upstream.host}:{upstream.port}",
             state=upstream.state,
-            revision=item.revision,
+            revision=revision,
         )
         if upstream.state is not _model.UpstreamState.READY:
             self._deps.on_departure(upstream)
@@ -435,7 +440,9 @@
         """Deletes older entries of the same node, which has one upstream."""
         for key in list(self._keys_by_address.get(_address(upstream), ())):
             entry = self._entries[key]
-            if entry.revision < revision and entry.upstream.id != upstream.id:
+            if entry.upstream.id == upstream.id:
+                continue
+            if entry.position.revision < revision:
                 self._delete(key)
 
     def _delete(self, key: str) -> None:
@@ -461,7 +468,7 @@
             "directory.removed",
             upstream=entry.upstream.id,
             state=entry.upstream.state,
-            revision=entry.revision,
+            revision=entry.position.revision,
         )
         if entry.upstream.state is not _model.UpstreamState.READY:
             self._delete(key)
@@ -509,11 +516,11 @@
 
     def _watch(self) -> None:
         """Lists all entries, then applies changes from the store."""
-        after = -1
+        after: store.Position | None = None
         backoff = _backoff.Backoff("directory")
         while True:
             try:
-                if after < 0:
+                if after is None:
                     after = self._list()
                 # After a failure, the first answer must not take long.
                 wait_s = (
@@ -521,7 +528,7 @@
                 )
                 page = self._deps.store.watch(PREFIX, after, wait_s)
             except errors.HistoryLostError:
-                after = -1
+                after = None
                 continue
             except errors.StoreError as exc:
                 self._store_failing = True
@@ -536,23 +543,23 @@
             after = max(after, page.as_of)
             for item in page.items:
                 self.apply(item)
-                self.revision = max(self.revision, item.revision)
-            self._covered_revision = after
+                self.revision = max(self.revision, item.position.revision)
+            self._covered = after
             self.remove_lapsed()
             if page.items:
                 gevent.sleep(batch_delay_s(len(self._entries)))
 
-    def _list(self) -> int:
-        """Lists all entries and returns the revision to watch from."""
+    def _list(self) -> store.Position:
+        """Lists all entries and returns the position to watch from."""
         page = self._deps.store.list_prefix(PREFIX)
         present = {item.key for item in page.items}
         for item in page.items:
             self.apply(item)
-            self.revision = max(self.revision, item.revision)
+            self.revision = max(self.revision, item.position.revision)
         for key in list(self._entries):
             if key not in present:
                 self._handle_removal(key)
-        self._covered_revision = page.as_of
+        self._covered = page.as_of
         self.lacks_entries = False
         self._store_failing = False
         self._answered_at = self._deps.timers.now()
--- a/flamingolug/gateway/_environment.py
+++ b/flamingolug/gateway/_environment.py
@@ -17,10 +17,11 @@
     settings: _model.GatewaySettings
     #: Reads the settings again; raises ConfigurationError.
     reload_settings: Callable[[], _model.GatewaySettings]
-    #: Returns a client of the store, given its address and a function that
-    #: counts calls by operation.
+    #: Returns a client of the store, given its address and functions that count
+    #: calls by operation, and answers that show a new or a former era.
     make_store: Callable[
-        [tuple[str, int], Callable[[str], None]], store.LeasedStore
+        [tuple[str, int], Callable[[str], None], Callable[[str], None]],
+        store.LeasedStore,
     ]
     #: Key of the configuration in the store.
     configuration_key: str
--- a/flamingolug/gateway/_held_lease.py
+++ b/flamingolug/gateway/_held_lease.py
@@ -22,8 +22,8 @@
             ttl_s: time to live after the last renewal, seconds.
             renewal_interval_s: seconds after which a use renews the lease.
         """
-        #: Number of the lease, 0 for none.
-        self.number = 0
+        #: The lease, None without one.
+        self.lease: store.Lease | None = None
         self._store = leased_store
         self._timers = timers
         self._ttl_s = ttl_s
@@ -35,34 +35,23 @@
         """Seconds since the lease was granted or renewed."""
         return self._timers.now() - self._renewed_at
 
-    def hold(self) -> int:
+    def hold(self) -> store.Lease:
         """Returns the lease, granted or renewed if necessary.
 
         Raises:
-            LeaseLostError: the lease has ended.
+            LeaseLostError: the lease has ended, or its era has.
             StoreError: the call failed.
         """
         now = self._timers.now()
-        if not self.number:
-            self.number = self._store.grant_lease(self._ttl_s)
+        if self.lease is None:
+            self.lease = self._store.grant_lease(self._ttl_s)
             self._renewed_at = now
         # Nine tenths: a slightly early wake-up does not skip a renewal.
         elif self.age_s > self._renewal_interval_s * 0.9:
-            self._store.renew_lease(self.number)
+            self._store.renew_lease(self.lease)
             self._renewed_at = now
-        return self.number
-
-    def end(self) -> None:
-        """Ends the lease in the store, which removes its entries.
-
-        Raises:
-            LeaseLostError: the lease has ended already.
-            StoreError: the call failed.
-        """
-        if self.number:
-            self._store.end_lease(self.number)
-            self.forget()
+        return self.lease
 
     def forget(self) -> None:
         """Lets the lease lapse; the next use grants another one."""
-        self.number = 0
+        self.lease = None
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -547,11 +547,13 @@
 
 
 def _to_entry_frame(item: store.Item) -> _frames.EntryFrame:
-    return _frames.EntryFrame(item.key, item.value or b"", item.revision)
+    return _frames.EntryFrame(
+        item.key, item.value or b"", item.position.revision
+    )
 
 
 def _from_entry_frame(frame: _frames.EntryFrame) -> store.Item:
-    return store.Item(frame.key, frame.value, frame.revision)
+    return store.Item(frame.key, frame.value, store.Position(0, frame.revision))
 
 
 def _to_outcome(
--- a/flamingolug/gateway/_metrics.py
+++ b/flamingolug/gateway/_metrics.py
@@ -13,6 +13,7 @@
 HUNG_CALLS = "flamingolug.gate.calls.hung"
 CONNECTIONS = "flamingolug.upstream.connections.opened"
 STORE_CALLS = "flamingolug.store.calls"
+STORE_ERAS = "flamingolug.store.eras"
 LINKS_LOST = "flamingolug.links.lost"
 CUT_REQUESTS = "flamingolug.entry.requests.cut"
 UNDELIVERED = "flamingolug.entry.connections.undelivered"
@@ -39,6 +40,9 @@
         counters.declare(LOAD_REPORTS, "Load reports in responses", "result")
         counters.declare(HUNG_CALLS, "Calls that the upstream lost", "result")
         counters.declare(STORE_CALLS, "Calls to the store", "operation")
+        counters.declare(
+            STORE_ERAS, "Answers of the store with a changed era", "result"
+        )
         counters.declare(LINKS_LOST, "Links to nodes that broke", "reason")
         counters.declare(CUT_REQUESTS, "Requests without an answer", "reason")
         counters.declare(
@@ -70,6 +74,10 @@
         """Counts a call to the store."""
         self.counters.add(STORE_CALLS, operation)
 
+    def count_era(self, result: str) -> None:
+        """Counts an answer of the store that shows another era, or none."""
+        self.counters.add(STORE_ERAS, result)
+
     def observe(self, status: int, rank: int, took_s: float) -> None:
         """Counts an answer to a caller, with its duration."""
         self.counters.add(ANSWERS, str(status), str(rank))
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -76,8 +76,9 @@
 
 @kernel.plugin("gateway.store", ("gateway.metrics",), PROGRAM)
 def _build_store(parts: kernel.Kernel) -> object:
+    metrics = _metrics_of(parts)
     return _environment_of(parts).make_store(
-        _settings(parts).store, _metrics_of(parts).count_store_call
+        _settings(parts).store, metrics.count_store_call, metrics.count_era
     )
 
 
--- a/flamingolug/gateway/tests/test_announcer.py
+++ b/flamingolug/gateway/tests/test_announcer.py
@@ -45,50 +45,51 @@
         self.granted_s: list[float] = []
         #: Leases of the writes.
         self.write_leases: list[int] = []
-        #: Leases that were ended.
-        self.ended_leases: list[int] = []
+        #: Revisions at which the key was to be removed.
+        self.deleted_at: list[int] = []
 
-    def grant_lease(self, ttl_s: float) -> int:
+    def grant_lease(self, ttl_s: float) -> store.Lease:
         """Returns a lease."""
         self.granted_s.append(ttl_s)
         if self.down:
             raise errors.StoreUnavailableError("down", step="t", peer="t")
-        return len(self.granted_s)
+        return store.Lease(1, len(self.granted_s))
 
-    def end_lease(self, lease: int) -> None:
-        """Ends a lease."""
-        self.ended_leases.append(lease)
+    def delete(self, key: str, expected: store.Position) -> None:
+        """Removes the key if the expected revision is the one stored."""
+        del key
+        self.deleted_at.append(expected.revision)
+        if expected.revision != self.revision:
+            raise errors.StoreConflictError("conflict", step="t", peer="t")
+        self.revision = 0
 
     def read(self, key: str) -> store.Page:
         """Returns the item with its revision."""
         self.calls.append("read")
-        items = (
-            [store.Item(key, self.value, self.revision)]
-            if self.revision
-            else []
-        )
-        return store.Page(items, self.revision)
+        position = store.Position(1, self.revision)
+        items = [store.Item(key, self.value, position)] if self.revision else []
+        return store.Page(items, position)
 
     def write(
         self,
         key: str,
         value: bytes,
-        expected_revision: int,
-        lease: int,
+        expected: store.Position,
+        lease: store.Lease,
         deletes: Sequence[str] = (),
-    ) -> int:
+    ) -> store.Position:
         """Writes if the expected revision is the one stored."""
         del key, value, deletes
         self.calls.append("write")
         self.before_write()
-        self.write_leases.append(lease)
-        if expected_revision != self.revision:
+        self.write_leases.append(lease.number)
+        if expected.revision != self.revision:
             raise errors.StoreConflictError("conflict", step="t", peer="t")
         self.revision += 7
         if self.lose_answers:
             self.lose_answers -= 1
             raise errors.StoreUnavailableError("lost", step="t", peer="t")
-        return self.revision
+        return store.Position(1, self.revision)
 
 
 class _AnnouncerTest(unittest.TestCase):
@@ -113,7 +114,8 @@
         known = None
         if known_revision:
             known = _directory.DirectoryEntry(
-                _ENTRY._replace(state=known_state), known_revision
+                _ENTRY._replace(state=known_state),
+                store.Position(1, known_revision),
             )
         timers: Any = types.SimpleNamespace(now=lambda: 100.0)
         cfg: Any = types.SimpleNamespace(
@@ -201,7 +203,7 @@
         announcer.publish().wait(0.1)
         announcer.withdraw()
         gevent.sleep(0.01)
-        self.assertEqual(kv.ended_leases, [1])
+        self.assertEqual(kv.deleted_at, [7])
         self.leave(_model.UpstreamState.GONE)
         self.assertTrue(announcer.has_unwritten_departure)
         self.assertTrue(announcer.publish().wait(0.1))
@@ -243,7 +245,7 @@
                 gevent.sleep(0.01)
                 self.assertEqual(kv.granted_s[-1], _departures.DEPARTURE_TTL_S)
                 self.assertEqual(kv.write_leases, [1, 2])
-                self.assertNotIn(2, kv.ended_leases)
+                self.assertEqual(kv.deleted_at, [])
 
     # Guards against a late report that replaces the record of a departure which
     # an earlier process has acknowledged.
--- a/flamingolug/gateway/tests/test_configuration_watcher.py
+++ b/flamingolug/gateway/tests/test_configuration_watcher.py
@@ -19,6 +19,10 @@
 _LONG_S = _watch_checks.LONGEST_WAIT_S
 
 
+def _position(revision: int) -> store.Position:
+    return store.Position(1, revision)
+
+
 class _Store:
     """A store that fails or answers each watch, as its test says."""
 
@@ -35,22 +39,24 @@
         """Returns no item."""
         del key
         self.reads += 1
-        return store.Page([], 5)
+        return store.Page([], _position(5))
 
-    def watch(self, prefix: str, after: int, wait_s: float) -> store.Page:
+    def watch(
+        self, prefix: str, after: store.Position, wait_s: float
+    ) -> store.Page:
         """Answers or fails; if it may wait, the last one never returns."""
         del prefix
         self.waits_s.append(wait_s)
         if wait_s == 0.0 and self.hang_checks:
             gevent.sleep(3600.0)
         if wait_s == 0.0 and not self.failures:
-            as_of = max((item.revision for item in self.change), default=after)
+            as_of = max((item.position for item in self.change), default=after)
             return store.Page(self.change, as_of)
         if not self.failures:
             gevent.sleep(3600.0)
         if self.failures.pop(0):
             raise errors.StoreUnavailableError("lost", step="t", peer="t")
-        return store.Page([], 5)
+        return store.Page([], _position(5))
 
 
 class WatchTest(unittest.TestCase):
@@ -97,7 +103,7 @@
     def test_check_finds_a_change_that_the_watch_has_lost(self) -> None:
         kv = _Store([])
         watcher = self.start_watcher(kv)
-        kv.change = [store.Item("k", b"later", 9)]
+        kv.change = [store.Item("k", b"later", _position(9))]
         self.timers.advance(_CHECK_INTERVAL_S)
         watcher.use()
         gevent.sleep(0.01)
@@ -112,7 +118,7 @@
             with self.subTest(overdue_s=overdue_s):
                 kv = _Store([])
                 watcher = self.start_watcher(kv)
-                kv.change = [store.Item("k", b"later", 9)]
+                kv.change = [store.Item("k", b"later", _position(9))]
                 self.timers.advance(_CHECK_INTERVAL_S + overdue_s)
                 requests = [gevent.spawn(watcher.use) for _ in range(3)]
                 gevent.sleep(0)
--- a/flamingolug/gateway/tests/test_departure_records.py
+++ b/flamingolug/gateway/tests/test_departure_records.py
@@ -37,34 +37,35 @@
         #: Errors of the next writes.
         self.failures: list[errors.StoreError] = []
 
-    def grant_lease(self, ttl_s: float) -> int:
+    def grant_lease(self, ttl_s: float) -> store.Lease:
         """Returns a lease."""
         del ttl_s
         self.granted += 1
-        return self.granted
+        return store.Lease(1, self.granted)
 
     def read(self, key: str) -> store.Page:
         """Returns the entry."""
         if self.stored is None:
-            return store.Page([], 9)
+            return store.Page([], store.Position(1, 9))
         value = _directory.encode_entry(self.stored)
-        return store.Page([store.Item(key, value, self.revision)], 9)
+        item = store.Item(key, value, store.Position(1, self.revision))
+        return store.Page([item], store.Position(1, 9))
 
     def write(
         self,
         key: str,
         value: bytes,
-        expected_revision: int,
-        lease: int,
+        expected: store.Position,
+        lease: store.Lease,
         deletes: Sequence[str] = (),
-    ) -> int:
+    ) -> store.Position:
         """Writes the entry, or fails as the test says."""
         del lease, deletes
         if self.failures:
             raise self.failures.pop(0)
-        assert expected_revision == self.revision
+        assert expected.revision == self.revision
         self.stored = _directory.decode_entry(key, value)
-        return 10
+        return store.Position(1, 10)
 
 
 class _Links:
--- a/flamingolug/gateway/tests/test_directory.py
+++ b/flamingolug/gateway/tests/test_directory.py
@@ -23,7 +23,9 @@
         name, "s", "z0", host, 1, 10, _model.UpstreamState.READY, 1, 1
     )
     return store.Item(
-        _directory.PREFIX + name, _directory.encode_entry(upstream), revision
+        _directory.PREFIX + name,
+        _directory.encode_entry(upstream),
+        store.Position(1, revision),
     )
 
 
@@ -34,7 +36,9 @@
     gone = upstream._replace(
         state=_model.UpstreamState.GONE, start_time_ms=start_time_ms
     )
-    return store.Item(item.key, _directory.encode_entry(gone), 0)
+    return store.Item(
+        item.key, _directory.encode_entry(gone), store.NO_POSITION
+    )
 
 
 class _Store:
@@ -53,15 +57,17 @@
         self.list_calls += 1
         if self.unavailable:
             raise errors.StoreUnavailableError("down", step="t", peer="t")
-        return store.Page(list(self.items), self.as_of)
+        return store.Page(list(self.items), store.Position(1, self.as_of))
 
-    def watch(self, prefix: str, after: int, wait_s: float) -> store.Page:
+    def watch(
+        self, prefix: str, after: store.Position, wait_s: float
+    ) -> store.Page:
         """Returns later entries, without end if it may wait."""
         del prefix
         if not wait_s:
             self.check_calls += 1
-            items = [item for item in self.items if item.revision > after]
-            return store.Page(items, self.as_of)
+            items = [item for item in self.items if item.position > after]
+            return store.Page(items, store.Position(1, self.as_of))
         gevent.sleep(3600.0)
         raise AssertionError
 
@@ -217,7 +223,7 @@
         self._start()
         known = self.directory.entries(5)
         assert known is not None
-        self.assertEqual([item.revision for item in known.ready], [9])
+        self.assertEqual([item.position.revision for item in known.ready], [9])
 
     # Guards against an entry, or a report that is accepted by it, of an
     # upstream whose departure only peers know of.
--- a/flamingolug/gateway/tests/test_shift_load.py
+++ b/flamingolug/gateway/tests/test_shift_load.py
@@ -110,7 +110,7 @@
         for revision, upstream in enumerate(upstreams, 1):
             key = _directory.PREFIX + upstream.id
             value = _directory.encode_entry(upstream)
-            directory.apply(store.Item(key, value, revision))
+            directory.apply(store.Item(key, value, store.Position(1, revision)))
         return directory
 
     def _make_node(
--- a/flamingolug/gateway/tests/test_upstreams.py
+++ b/flamingolug/gateway/tests/test_upstreams.py
@@ -68,7 +68,7 @@
             store.Item(
                 _directory.PREFIX + upstream.id,
                 _directory.encode_entry(upstream),
-                number + 1,
+                store.Position(1, number + 1),
             )
         )
 
--- a/flamingolug/platform/_store.py
+++ b/flamingolug/platform/_store.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store."""
 
 import base64
+import logging
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
@@ -13,7 +14,9 @@
 from flamingolug import errors
 from flamingolug import http1
 from flamingolug import store
+from flamingolug import telemetry
 
+_LOGGER = logging.getLogger(__name__)
 #: Time-out of opening a connection. The store normally answers within
 #: milliseconds.
 CONNECT_TIMEOUT_S = 0.8
@@ -26,6 +29,10 @@
 MAX_IDLE = 2
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 _JSON_HEADERS = [(b"content-type", b"application/json")]
+#: Header of all responses, with the number of the store's era.
+_ERA_HEADER = b"store-era"
+#: Digits of the highest accepted era, which fits every encoding.
+_MAX_ERA_DIGITS = 18
 
 
 class _Item(msgspec.Struct):
@@ -36,10 +43,10 @@
     value: bytes = msgspec.field(name="Value", default=b"")
     deleted: bool = msgspec.field(name="Deleted", default=False)
 
-    def to_item(self) -> store.Item:
+    def to_item(self, era: int) -> store.Item:
         """Returns the item in the form of the interface."""
         value = None if self.deleted else self.value
-        return store.Item(self.key, value, self.revision)
+        return store.Item(self.key, value, store.Position(era, self.revision))
 
 
 class _RangeResult(msgspec.Struct):
@@ -74,24 +81,49 @@
     If a call is not answered, responses on other connections may have been lost
     too, and a connection on which a response was lost returns nothing further.
     Watches that wait are therefore ended; they fail as unanswered.
+
+    Every answer shows the era of the store, errors too. An answer of an era
+    that has ended is discarded.
     """
 
     def __init__(
-        self, address: tuple[str, int], count: Callable[[str], None]
+        self,
+        address: tuple[str, int],
+        count: Callable[[str], None],
+        count_era: Callable[[str], None] = lambda event: None,
     ) -> None:
         """Creates a client.
 
         Args:
             address: host and port of the store.
             count: called with the name of the operation for each call.
+            count_era: called with `begun` for each era after the first, and
+                with `former` or `unreadable` for an answer that shows an era
+                that has ended, or none.
         """
         self._address = address
         self._host = f"{address[0]}:{address[1]}".encode()
         self._count = count
+        self._count_era = count_era
+        self._era = 0
+        self._era_listeners: list[Callable[[int], object]] = []
         self._idle: list[http1.Connection] = []
         #: Connections of the watches in progress.
         self._watching: set[http1.Connection] = set()
 
+    @property
+    def era(self) -> int:
+        """See `LeasedStore.era`."""
+        return self._era
+
+    def on_new_era(self, listener: Callable[[int], object]) -> None:
+        """See `LeasedStore.on_new_era`."""
+        self._era_listeners.append(listener)
+
+    def recheck_era(self) -> None:
+        """See `LeasedStore.recheck_era`."""
+        self._end_watches()
+
     def read(self, key: str) -> store.Page:
         """See `LeasedStore.read`."""
         # The response to a range request contains the revision of the store
@@ -104,83 +136,133 @@
         """See `LeasedStore.list_prefix`."""
         items: list[store.Item] = []
         after = ""
-        as_of = -1
+        as_of: store.Position | None = None
         while True:
             query = {"Prefix": prefix}
             if after:
                 query["after"] = after
             result = self._get("range", "/v1/kv-range", query, _RangeResult)
+            if as_of is not None and as_of.era != self._era:
+                # The earlier pages are of a former era.
+                items, after, as_of = [], "", None
+                continue
             # The pages are not a snapshot: keys of earlier pages may change
             # before a later page is read. A watch has to start at the revision
             # of the first page.
-            if as_of < 0:
-                as_of = result.as_of
-            page = [each.to_item() for each in result.items]
+            if as_of is None:
+                as_of = store.Position(self._era, result.as_of)
+            page = [each.to_item(self._era) for each in result.items]
             items += page
             if not result.has_more or not page:
                 return store.Page(items, as_of)
             after = page[-1].key
 
-    def watch(self, prefix: str, after: int, wait_s: float) -> store.Page:
+    def watch(
+        self, prefix: str, after: store.Position, wait_s: float
+    ) -> store.Page:
         """See `LeasedStore.watch`."""
+        self._require_era_of_history(after.era)
         query = {
             "Prefix": prefix,
-            "after": str(after),
+            "after": str(after.revision),
             "WaitMs": str(int(wait_s * 1000)),
         }
-        result = self._get(
-            "watch",
-            "/v1/kv-watch",
-            query,
-            _WatchResult,
-            wait_s + WATCH_MARGIN_S,
-        )
-        items = [each.to_item() for each in result.events]
-        return store.Page(items, result.as_of)
+        try:
+            result = self._get(
+                "watch",
+                "/v1/kv-watch",
+                query,
+                _WatchResult,
+                wait_s + WATCH_MARGIN_S,
+            )
+        except errors.StoreUnavailableError:
+            # The watch was ended because another call met a new era.
+            self._require_era_of_history(after.era)
+            raise
+        # A store that has given out the revision again accepts it.
+        self._require_era_of_history(after.era)
+        items = [each.to_item(self._era) for each in result.events]
+        return store.Page(items, store.Position(self._era, result.as_of))
 
     def write(
         self,
         key: str,
         value: bytes,
-        expected_revision: int,
-        lease: int,
+        expected: store.Position,
+        lease: store.Lease,
         deletes: Sequence[str] = (),
-    ) -> int:
+    ) -> store.Position:
         """See `LeasedStore.write`."""
+        self._require_lease_era(lease)
+        self._require_expected_era(expected)
         body = {
-            "ExpectedRev": [{"Key": key, "Revision": expected_revision}],
+            "ExpectedRev": [{"Key": key, "Revision": expected.revision}],
             "Writes": [
                 {
                     "Key": key,
                     "Value": base64.b64encode(value).decode(),
-                    "Lease": lease,
+                    "Lease": lease.number,
                 }
             ],
             "Deletes": list(deletes),
         }
         result = self._post("txn", "/v1/kv-txn", body, _WriteResult)
-        return result.revision
+        if lease.era != self._era:
+            # The number of the lease may belong to another holder now.
+            raise errors.StoreUnavailableError(
+                f"era {lease.era} ended during the write",
+                step="store.txn",
+                peer=self._host.decode(),
+            )
+        return store.Position(self._era, result.revision)
+
+    def delete(self, key: str, expected: store.Position) -> None:
+        """See `LeasedStore.delete`."""
+        self._require_expected_era(expected)
+        body = {
+            "ExpectedRev": [{"Key": key, "Revision": expected.revision}],
+            "Writes": [],
+            "Deletes": [key],
+        }
+        self._post("txn", "/v1/kv-txn", body, _EmptyResult)
 
-    def grant_lease(self, ttl_s: float) -> int:
+    def grant_lease(self, ttl_s: float) -> store.Lease:
         """See `LeasedStore.grant_lease`."""
         result = self._post(
             "lease", "/v1/kv-lease", {"TtlMs": int(ttl_s * 1000)}, _LeaseResult
         )
-        return result.lease
+        return store.Lease(self._era, result.lease)
 
-    def renew_lease(self, lease: int) -> None:
+    def renew_lease(self, lease: store.Lease) -> None:
         """See `LeasedStore.renew_lease`."""
-        self._post("keep", f"/v1/kv-keep/{lease}", {}, _EmptyResult)
-
-    def end_lease(self, lease: int) -> None:
-        """See `LeasedStore.end_lease`."""
-        self._call(
-            "lease_end",
-            b"DELETE",
-            f"/v1/kv-lease-end/{lease}",
-            b"",
-            _EmptyResult,
-        )
+        self._require_lease_era(lease)
+        self._post("keep", f"/v1/kv-keep/{lease.number}", {}, _EmptyResult)
+        self._require_lease_era(lease)
+
+    def _require_era_of_history(self, era: int) -> None:
+        if era != self._era:
+            raise errors.HistoryLostError(
+                f"era {era} of the store has ended",
+                step="store.watch",
+                peer=self._host.decode(),
+            )
+
+    def _require_expected_era(self, expected: store.Position) -> None:
+        if expected != store.NO_POSITION and expected.era != self._era:
+            raise errors.StoreConflictError(
+                f"the expected revision is of era {expected.era}, which has "
+                "ended",
+                step="store.txn",
+                peer=self._host.decode(),
+            )
+
+    def _require_lease_era(self, lease: store.Lease) -> None:
+        if lease.era != self._era:
+            raise errors.LeaseLostError(
+                f"the lease is of era {lease.era}, which has ended",
+                step="store.lease",
+                peer=self._host.decode(),
+            )
 
     def _get(
         self,
@@ -249,8 +331,44 @@
             self._idle.append(conn)
         else:
             conn.close()
+        self._note_era(response, step, peer)
         return _decode(response, operation, step, peer, result_type)
 
+    def _note_era(self, response: http1.Response, step: str, peer: str) -> None:
+        """Records the era that a response shows.
+
+        Raises:
+            StoreUnavailableError: the era has ended.
+        """
+        text = response.header(_ERA_HEADER)
+        if not (text.isdigit() and len(text) <= _MAX_ERA_DIGITS):
+            if text or self._era:
+                self._count_era("unreadable")
+            return
+        era = int(text)
+        if era < self._era:
+            self._count_era("former")
+            raise errors.StoreUnavailableError(
+                f"late response of era {era}", step=step, peer=peer
+            )
+        former, self._era = self._era, era
+        # Nothing is known of an era before the first one that is seen.
+        if era == former or not former:
+            return
+        self._count_era("begun")
+        telemetry.event(
+            _LOGGER,
+            "store.era_began",
+            level=logging.WARNING,
+            era=era,
+            former=former,
+            step=step,
+            peer=peer,
+        )
+        self._end_watches()
+        for listener in self._era_listeners:
+            listener(era)
+
     def _end_watches(self) -> None:
         """Closes the connections of the watches in progress."""
         watching, self._watching = self._watching, set()
--- /dev/null
+++ b/flamingolug/platform/tests/test_drills.py
@@ -0,0 +1,175 @@
+"""Stores that return from an older copy, as in a drill.
+
+Revisions and leases are then given out again, and what was acknowledged since
+the copy is gone.
+"""
+
+import itertools
+import time
+import unittest
+
+import gevent
+
+from flamingolug import errors
+from flamingolug import store
+from flamingolug.platform import _store
+from flamingolug.platform.tests import deployment
+from flamingolug.platform.tests import processes
+from flamingolug_standins import documents
+from flamingolug_standins import leased_store
+
+#: Seconds of a disturbance of the store, `TouchMs`.
+_TOUCH_S = 3.0
+#: Seconds within which a configuration is in force, `ConfigApplyMs`.
+_CONFIG_APPLY_S = 2.0
+#: Seconds for which the store is away in a drill.
+_AWAY_S = 0.5
+
+
+class ConfigurationTest(unittest.TestCase):
+    """The watch of the configuration by a node process."""
+
+    def setUp(self) -> None:
+        self.deployment = deployment.Deployment(
+            ("shelf",), [documents.make_route("read", "front")]
+        )
+        self.addCleanup(self.deployment.stop)
+        self.front = processes.NodeProcess("front", self.deployment)
+        self.addCleanup(self.front.close)
+        self.numbers = itertools.count()
+
+    def put(self, version: int, route: str) -> None:
+        self.deployment.store.put(
+            "op/config",
+            documents.make_document(
+                version, [documents.make_route(route, "front")]
+            ),
+        )
+
+    def serves(self, route: str) -> bool:
+        # A server that has not reported for a while gets no calls.
+        self.front.server.report()
+        request_id = f"{route}-{next(self.numbers)}"
+        target = f"/{route}/x".encode()
+        status = processes.ask_once(self.front.outbound, target, request_id)
+        return status == 200
+
+    def assert_served_within(self, route: str, limit_s: float) -> None:
+        began_at = time.monotonic()
+        deployment.wait_until(lambda: self.serves(route), f"{route} is served")
+        self.assertLess(time.monotonic() - began_at, limit_s)
+
+    # Guards against a watch from a revision that was given out again, which
+    # waits for a later one while the version is never in force.
+    def test_version_stored_right_after_a_drill_is_in_force(self) -> None:
+        kv = self.deployment.store
+        versions = itertools.count(4)
+        # Twice, also without a sign of it on the connections of the watches.
+        for is_away in (True, False, True):
+            with self.subTest(is_away=is_away):
+                copy = kv.copy()
+                lost = next(versions)
+                self.put(lost, f"lost{lost}")
+                self.assert_served_within(f"lost{lost}", _TOUCH_S)
+                if is_away:
+                    kv.down = True
+                    gevent.sleep(_AWAY_S)
+                kv.restore(copy)
+                kv.down = False
+                later = next(versions)
+                self.put(later, f"later{later}")
+                self.assert_served_within(
+                    f"later{later}", _TOUCH_S + _CONFIG_APPLY_S
+                )
+
+
+class ClientTest(unittest.TestCase):
+    """What the client of the store still does with a former era."""
+
+    def setUp(self) -> None:
+        host = deployment.next_host()
+        self.store = leased_store.LeasedStore(host, deployment._BASE_PORT + 26)
+        self.addCleanup(self.store.stop)
+        self.counted: list[str] = []
+        self.client = _store.PlatformStore(
+            self.store.address, lambda name: None, self.counted.append
+        )
+        self.copy = self.store.copy()
+        self.store.put("k", b"1")
+        self.lease = self.client.grant_lease(8.0)
+        (self.item,) = self.client.read("k").items
+
+    def transactions(self) -> int:
+        return self.store.calls.get("/v1/kv-txn", 0)
+
+    # Guards against a lease whose number belongs to another holder now.
+    def test_lease_of_a_former_era_is_not_used(self) -> None:
+        self.store.restore(self.copy)
+        self.assertEqual(self.client.grant_lease(8.0).number, self.lease.number)
+        with self.assertRaises(errors.LeaseLostError):
+            self.client.write("k2", b"", store.NO_POSITION, self.lease)
+        with self.assertRaises(errors.LeaseLostError):
+            self.client.renew_lease(self.lease)
+        self.assertEqual(self.transactions(), 0)
+        self.assertNotIn(f"/v1/kv-keep/{self.lease.number}", self.store.calls)
+
+    # Guards against a renewal or a write that meets the new era first and is
+    # taken for one of the own lease.
+    def test_answer_of_the_next_era_does_not_confirm_a_lease(self) -> None:
+        for era in (2, 3):
+            self.store.restore(self.copy)
+            self.assertEqual(self.client.era, era - 1)
+            other = self.store.grant_lease(8.0)
+            self.assertEqual(other, self.lease.number)
+            if era == 2:
+                with self.assertRaises(errors.LeaseLostError):
+                    self.client.renew_lease(self.lease)
+            else:
+                lease = store.Lease(2, self.lease.number)
+                with self.assertRaises(errors.StoreUnavailableError):
+                    self.client.write("k2", b"", store.NO_POSITION, lease)
+            self.assertEqual(self.client.era, era)
+
+    # Guards against a condition that holds for a value of the new era.
+    def test_revision_of_a_former_era_is_no_condition(self) -> None:
+        self.store.restore(self.copy)
+        self.store.put("k", b"other")
+        lease = self.client.grant_lease(8.0)
+        with self.assertRaises(errors.StoreConflictError):
+            self.client.write("k", b"2", self.item.position, lease)
+        with self.assertRaises(errors.StoreConflictError):
+            self.client.delete("k", self.item.position)
+        self.assertEqual(self.transactions(), 0)
+        self.assertEqual(self.store.get("k"), b"other")
+
+    # Guards against watches that wait for a revision of a former era.
+    def test_watches_end_when_any_call_meets_a_new_era(self) -> None:
+        watches = [
+            gevent.spawn(self.client.watch, prefix, self.item.position, 20.0)
+            for prefix in ("k", "op/")
+        ]
+        gevent.sleep(0.1)
+        self.store.restore(self.copy)
+        # The revision that the watches know is given out again.
+        self.store.put("x", b"")
+        gevent.sleep(0.1)
+        self.assertFalse(any(each.ready() for each in watches))
+        self.client.grant_lease(8.0)
+        gevent.joinall(watches, timeout=1.0)
+        for watch in watches:
+            self.assertIsInstance(watch.exception, errors.HistoryLostError)
+        self.assertEqual(self.counted, ["begun"])
+
+    # Guards against an answer that was on its way when the era ended.
+    def test_late_answer_of_a_former_era_is_discarded(self) -> None:
+        eras: list[int] = []
+        self.client.on_new_era(eras.append)
+        self.store.restore(self.copy)
+        self.client.read("k")
+        self.store.era = 1
+        for _ in range(2):
+            with self.assertRaises(errors.StoreUnavailableError):
+                self.client.read("k")
+        self.assertEqual(self.client.era, 2)
+        self.assertEqual(eras, [2])
+        self.assertEqual(self.counted, ["begun", "former", "former"])
--- a/flamingolug/platform/tests/test_lost_responses.py
+++ b/flamingolug/platform/tests/test_lost_responses.py
@@ -7,6 +7,7 @@
 import gevent
 
 from flamingolug import errors
+from flamingolug import store
 from flamingolug.gateway import _announcer
 from flamingolug.gateway import _directory
 from flamingolug.gateway import _model
@@ -139,7 +140,9 @@
     # calls have met.
     def test_unanswered_call_ends_the_watches_that_wait(self) -> None:
         watches = [
-            gevent.spawn(self.client.watch, _directory.PREFIX, 0, 20.0)
+            gevent.spawn(
+                self.client.watch, _directory.PREFIX, store.NO_POSITION, 20.0
+            )
             for _ in range(2)
         ]
         gevent.sleep(0.1)
@@ -152,7 +155,9 @@
             self.assertIsInstance(watch.exception, errors.StoreUnavailableError)
 
     def test_refused_call_leaves_the_watches_that_wait(self) -> None:
-        watch = gevent.spawn(self.client.watch, _directory.PREFIX, 0, 1.0)
+        watch = gevent.spawn(
+            self.client.watch, _directory.PREFIX, store.NO_POSITION, 1.0
+        )
         gevent.sleep(0.1)
         self.store.down = True
         with self.assertRaises(errors.StoreUnavailableError):
--- a/flamingolug_standins/leased_store.py
+++ b/flamingolug_standins/leased_store.py
@@ -8,6 +8,7 @@
 import time
 from collections import deque
 from typing import Any
+from typing import NamedTuple
 from typing import NoReturn
 from urllib import parse
 
@@ -20,13 +21,30 @@
 
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 _WATCH_PATH = "/v1/kv-watch"
+_ERA_HEADER = b"store-era"
 _Response = tuple[int, http1.Headers, bytes]
 
 
+class Copy(NamedTuple):
+    """Copy of the contents of a store."""
+
+    #: Clock reading at which the copy was made.
+    made_at: float
+    revision: int
+    last_lease: int
+    items: dict[str, tuple[bytes, int, int]]
+    leases: dict[int, tuple[float, float]]
+    events: list[tuple[int, str, bytes | None]]
+
+
 class LeasedStore:
     """Stores keys and leases in memory and serves them over HTTP.
 
+    It can return from a copy of its contents. Revisions and leases are then
+    given out again, and the era, which is in a header of all answers, rises.
+
     Attributes:
+        era: number of the era.
         down: requests are answered with 503.
         turned_away: addresses of this store, as HOST:PORT, at which requests
             are answered with 503, so that nodes that use another address are
@@ -50,6 +68,7 @@
             port: port to listen on.
             history: maximum number of changes that are kept for watches.
         """
+        self.era = 1
         self.down = False
         self.turned_away: set[str] = set()
         self.silent = False
@@ -96,7 +115,9 @@
         """Listens on a further host, at the same port."""
         server = gevent_server.StreamServer(
             http1.listen(host, self._address[1]),
-            lambda sock, peer: http1.serve_connection(sock, peer, self._handle),
+            lambda sock, peer: http1.serve_connection(
+                sock, peer, self._handle_in_era
+            ),
         )
         server.start()
         self._servers.append(server)
@@ -105,6 +126,12 @@
         """Writes a key without a lease, as an operator does."""
         self._set(key, value, 0)
 
+    def grant_lease(self, ttl_s: float) -> int:
+        """Returns the number of a new lease."""
+        self._last_lease += 1
+        self._leases[self._last_lease] = (time.monotonic() + ttl_s, ttl_s)
+        return self._last_lease
+
     def get(self, key: str) -> bytes | None:
         """Returns the value of a key, None if it does not exist."""
         item = self._items.get(key)
@@ -125,6 +152,41 @@
         self._first_revision = self._revision + 1
         self._notify()
 
+    def copy(self) -> Copy:
+        """Returns a copy of the contents."""
+        return Copy(
+            time.monotonic(),
+            self._revision,
+            self._last_lease,
+            dict(self._items),
+            dict(self._leases),
+            list(self._events),
+        )
+
+    def restore(self, copy: Copy) -> None:
+        """Replaces the contents by a copy; begins another era.
+
+        A lease lasts for as long as it had left when the copy was made. Watches
+        that wait are not cut; they wait for a revision of the former era.
+        """
+        age_s = time.monotonic() - copy.made_at
+        self.era += 1
+        self._revision = copy.revision
+        self._last_lease = copy.last_lease
+        self._items = dict(copy.items)
+        self._leases = {
+            lease: (expires_at + age_s, ttl_s)
+            for lease, (expires_at, ttl_s) in copy.leases.items()
+        }
+        self._events = deque(copy.events, maxlen=self._events.maxlen)
+        self._notify()
+
+    def _handle_in_era(self, req: http1.Request) -> _Response:
+        """Handles a request; adds the era to the response."""
+        status, headers, body = self._handle(req)
+        era = (_ERA_HEADER, str(self.era).encode())
+        return status, [*headers, era], body
+
     def _handle(self, req: http1.Request) -> _Response:
         path, _, query = req.target.decode().partition("?")
         self.calls[path] = self.calls.get(path, 0) + 1
@@ -171,12 +233,8 @@
     def _route_lease(self, method: str, path: str, body: Any) -> _Response:
         prefix, _, lease_id = path.rpartition("/")
         if path == "/v1/kv-lease":
-            self._last_lease += 1
-            ttl_s = body["TtlMs"] / 1000.0
-            self._leases[self._last_lease] = (time.monotonic() + ttl_s, ttl_s)
-            return _json_response(
-                200, {"Lease": self._last_lease, "TtlMs": body["TtlMs"]}
-            )
+            lease = self.grant_lease(body["TtlMs"] / 1000.0)
+            return _json_response(200, {"Lease": lease, "TtlMs": body["TtlMs"]})
         if prefix == "/v1/kv-keep":
             lease = int(lease_id)
             if lease not in self._leases:
@@ -203,7 +261,7 @@
         after = int(args["after"])
         deadline = time.monotonic() + int(args["WaitMs"]) / 1000.0
         while True:
-            if after + 1 < self._first_revision:
+            if after > self._revision or after + 1 < self._first_revision:
                 return _json_response(410, {})
             events: list[dict[str, Any]] = []
             for revision, key, value in self._events:
