Write departures and entries again when the store has lost them

The store had returned from a copy without the record, and the next process of the node accepted a late report.

Cause: a node took what it had once written for written, and the other nodes forgot a departure with its record. Ruled out: the lease of the record, and the late report, which has no effect once the record is there.

Change: when the era rises, a node forgets its leases, writes a departure at once and an entry in use within a window that the store's rate allows. An acknowledgement tells two further nodes over links.

--- a/flamingolug/gateway/_announcer.py
+++ b/flamingolug/gateway/_announcer.py
@@ -1,6 +1,7 @@
 """Announces this node's upstream in the store under a lease."""
 
 import logging
+import random
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -29,6 +30,21 @@
 #: Longest mean wait, seconds, between attempts to write a departure during a
 #: stop, of which each second counts.
 STOP_RETRY_WAIT_S = 0.2
+#: Writing calls of a node after the store has returned from a copy: a lease and
+#: an entry.
+REWRITE_CALLS = 2
+#: Fraction of the store's rate of writes that these calls may take.
+REWRITE_RATE_FRACTION = 0.5
+#: Longest time in which the entries are written again, seconds. They count as
+#: gone two seconds after the return.
+MAX_REWRITE_WINDOW_S = 1.0
+
+
+def rewrite_window_s(node_count: int, writes_per_s: float) -> float:
+    """Returns the seconds in which the nodes write their entries again."""
+    calls = node_count * REWRITE_CALLS
+    window_s = calls / (writes_per_s * REWRITE_RATE_FRACTION)
+    return min(window_s, MAX_REWRITE_WINDOW_S)
 
 
 class Dependencies(NamedTuple):
@@ -44,6 +60,10 @@
     #: Handles an entry which says that the upstream in use leaves, or which
     #: belongs to a later incarnation.
     on_departure: Callable[[_model.Upstream], None]
+    #: Returns the seconds in which the nodes write their entries again after
+    #: the store has returned from a copy.
+    rewrite_window_s: Callable[[], float]
+    rng: random.Random
 
 
 class Announcer:
@@ -73,6 +93,9 @@
         self._attempted_keys: set[str] = set()
         #: Set when the entry in the store is up to date.
         self._published = event.Event()
+        #: Clock reading since which the entry has to be written again, because
+        #: the store has returned from a copy; None without a need.
+        self._rewriting_since: float | None = None
 
     def _new_lease(
         self, ttl_s: float, renewal_interval_s: float
@@ -108,6 +131,13 @@
             written, departed
         )
 
+    def announces_departure_of(self, upstream_id: str) -> bool:
+        """Returns whether this node keeps the record of a departure."""
+        desired = self.make_entry()
+        if desired is None or desired.id != upstream_id:
+            return False
+        return desired.state is not _model.UpstreamState.READY
+
     def publish(self) -> event.Event:
         """Requests a write of the entry.
 
@@ -126,6 +156,27 @@
             self._positions.clear()
             self._wake.set()
 
+    def handle_new_era(self) -> None:
+        """Writes the entry again, since the store may have lost it.
+
+        A departure is written at once; other entries are spread over the
+        window, so that the nodes do not all write at the same moment.
+        """
+        self._forget_leases()
+        desired = self.make_entry()
+        if desired is None:
+            return
+        self._published.clear()
+        if self._rewriting_since is None:
+            self._rewriting_since = self._deps.timers.now()
+        if desired.state is not _model.UpstreamState.READY:
+            self._wake.set()
+            return
+        window_s = self._deps.rewrite_window_s()
+        gevent.spawn_later(
+            self._deps.rng.uniform(0.0, window_s), self._wake.set
+        )
+
     def withdraw(self) -> None:
         """Requests the removal of the entry of an upstream in use.
 
@@ -185,6 +236,11 @@
 
     def _handle_lost_lease(self) -> None:
         """Forgets both leases: the answer does not say which has ended."""
+        self._forget_leases()
+        self._wake.set()
+
+    def _forget_leases(self) -> None:
+        """Forgets both leases and what was written under them."""
         for held in (self._ready_lease, self._departure_lease):
             if held.lease is not None:
                 telemetry.event(
@@ -197,7 +253,6 @@
             held.forget()
         self._written = None
         self._positions.clear()
-        self._wake.set()
 
     def _update_store(self) -> None:
         """Writes a changed entry, or removes it; renews its lease when due."""
@@ -217,8 +272,21 @@
         unused.forget()
         current = self.make_entry()
         # The upstream may have reported again during the calls.
-        if current is not None and self._is_written(current):
-            self._published.set()
+        if current is None or not self._is_written(current):
+            return
+        self._published.set()
+        if self._rewriting_since is not None:
+            telemetry.event(
+                _LOGGER,
+                "announcement.restored",
+                upstream=current.id,
+                state=current.state,
+                era=lease.era,
+                took_s=round(
+                    self._deps.timers.now() - self._rewriting_since, 3
+                ),
+            )
+            self._rewriting_since = None
 
     def _remove(self, upstream: _model.Upstream) -> None:
         """Removes the entry of an upstream in use, if this node wrote one.
--- a/flamingolug/gateway/_control_server.py
+++ b/flamingolug/gateway/_control_server.py
@@ -193,6 +193,7 @@
         if announcer.has_departure(departed):
             return 200
         written = announcer.publish()
+        deps.records.tell_peers(departed)
         if written.wait(OWN_RECORD_WAIT_S):
             return 200
         confirmed = deps.records.ask_peers(departed, PEER_RECORD_WAIT_S)
--- a/flamingolug/gateway/_departure_records.py
+++ b/flamingolug/gateway/_departure_records.py
@@ -35,6 +35,10 @@
 NODES_PER_ROUND = 3
 #: Seconds after which further nodes are asked.
 ROUND_INTERVAL_S = 0.2
+#: Nodes that are told of each departure.
+NODES_TOLD = 2
+#: Seconds within which a link to them is opened.
+TELL_WAIT_S = 1.0
 #: Attempts to write one record; another writer may change the key in between.
 MAX_WRITES = 3
 
@@ -71,15 +75,15 @@
         #: Set when a node has confirmed the record, by number of the request.
         self._confirmed: dict[int, event.Event] = {}
 
-    def write(self, departed: _model.Upstream) -> None:
-        """Writes the record of a departure.
+    def write(self, departed: _model.Upstream) -> bool:
+        """Writes the record of a departure; returns False if it is there.
 
         Raises:
             StoreError: it is not known to be in the store.
         """
         for attempt in range(MAX_WRITES):
             try:
-                self._write_once(departed)
+                return self._write_once(departed)
             except errors.LeaseLostError:
                 self._lease.forget()
                 if attempt == MAX_WRITES - 1:
@@ -87,10 +91,9 @@
             except errors.StoreConflictError:
                 if attempt == MAX_WRITES - 1:
                     raise
-            else:
-                return
+        raise AssertionError
 
-    def _write_once(self, departed: _model.Upstream) -> None:
+    def _write_once(self, departed: _model.Upstream) -> bool:
         key = _directory.PREFIX + departed.id
         items = self._deps.store.read(key).items
         position = items[0].position if items else store.NO_POSITION
@@ -98,10 +101,11 @@
         if items and items[0].value is not None:
             stored = _directory.decode_entry(key, items[0].value)
         if stored is not None and _departures.is_departed(stored, departed):
-            return
+            return False
         value = _directory.encode_entry(departed)
         lease = self._lease.hold()
         self._deps.store.write(key, value, position, lease)
+        return True
 
     def handle_frame(
         self, frame: _frames.DepartureFrame, confirm: Callable[[], object]
@@ -143,6 +147,19 @@
         if confirmed is not None:
             confirmed.set()
 
+    def tell_peers(self, departed: _model.Upstream) -> None:
+        """Tells a few other nodes of a departure, linked ones first.
+
+        They know of it if the store loses the record and this node ends.
+        """
+        notice = _frames.DepartureFrame(
+            0,
+            _directory.PREFIX + departed.id,
+            _directory.encode_entry(departed),
+        )
+        for address in itertools.islice(self._peers_in_order(), NODES_TOLD):
+            gevent.spawn(self._ask, address, notice, TELL_WAIT_S)
+
     def ask_peers(
         self, departed: _model.Upstream, wait_s: float
     ) -> event.Event:
--- a/flamingolug/gateway/_departures.py
+++ b/flamingolug/gateway/_departures.py
@@ -1,4 +1,4 @@
-"""Departures of upstreams that this node has learned of from other nodes."""
+"""Departures of upstreams that this node has learned of."""
 
 from flamingolug import timing
 from flamingolug.gateway import _model
@@ -37,6 +37,12 @@
         self._departures[departed.id] = (departed, self._timers.now())
         return True
 
+    def renew(self, departed: _model.Upstream) -> None:
+        """Adds a departure, or knows it for the full time again."""
+        if not self.add(departed):
+            known = self._departures[departed.id][0]
+            self._departures[departed.id] = (known, self._timers.now())
+
     def find(self, upstream_id: str) -> _model.Upstream | None:
         """Returns the departure of an upstream, None if none is known."""
         found = self._departures.get(upstream_id)
--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -109,6 +109,8 @@
     used_at: Callable[[], float]
     #: Returns the seconds between checks of the watch while the node is in use.
     check_interval_s: Callable[[], float]
+    #: Called with a departure that the store does not have, or no longer.
+    on_unrecorded: Callable[[_model.Upstream], None]
 
 
 class KnownEntries(NamedTuple):
@@ -124,10 +126,16 @@
     """Entry of one upstream, with its position and when it lapsed."""
 
     def __init__(
-        self, upstream: _model.Upstream, position: store.Position
+        self,
+        upstream: _model.Upstream,
+        position: store.Position,
+        is_recorded: bool,
     ) -> None:
         """Creates an entry that is present in the store."""
+        #: As stored, or in its state of departure if that is known.
         self.upstream = upstream
+        #: Whether the stored entry is the record of a departure.
+        self.is_recorded = is_recorded
         self.position = position
         #: When the entry disappeared from the store, None while it is present.
         self.lapsed_at: float | None = None
@@ -299,12 +307,16 @@
             return None
         known = KnownEntries([], [])
         for key, entry in self._entries.items():
-            item = store.Item(key, encode_entry(entry.upstream), entry.position)
             if entry.upstream.state is not _model.UpstreamState.READY:
-                known.departed.append(item)
-            elif entry.position.revision > after:
-                known.ready.append(item)
-        for departed in self._departures.list_all():
+                continue
+            if entry.position.revision > after:
+                value = encode_entry(entry.upstream)
+                known.ready.append(store.Item(key, value, entry.position))
+        departures = {each.id: each for each in self._departures.list_all()}
+        for entry in self._entries.values():
+            if entry.upstream.state is not _model.UpstreamState.READY:
+                departures[entry.upstream.id] = entry.upstream
+        for departed in departures.values():
             value = encode_entry(departed)
             known.departed.append(
                 store.Item(PREFIX + departed.id, value, store.NO_POSITION)
@@ -357,6 +369,23 @@
             self._restart()
         return True
 
+    def needs_record(self, departed: _model.Upstream) -> bool:
+        """Returns whether the store lacked a departure when last read.
+
+        It does not need that of an incarnation before the one that is known.
+        """
+        if self._has_later_incarnation(departed):
+            return False
+        entry = self.find_entry(PREFIX + departed.id)
+        return entry is None or not entry.is_recorded
+
+    def _has_later_incarnation(self, departed: _model.Upstream) -> bool:
+        """Returns whether the incarnation behind a departure is known."""
+        entry = self._entries.get(PREFIX + departed.id)
+        if entry is None:
+            return False
+        return not _departures.is_departed(departed, entry.upstream)
+
     def record_departure(self, departed: _model.Upstream) -> None:
         """Handles a departure that a peer has reported.
 
@@ -409,15 +438,18 @@
         if item.value is None:
             self._handle_removal(item.key)
             return
-        upstream = decode_entry(item.key, item.value)
-        if upstream is None:
+        stored = decode_entry(item.key, item.value)
+        if stored is None:
             return
-        upstream = self._apply_departure(upstream)
+        upstream = self._apply_departure(stored)
         if entry is not None:
             # The upstream may have a new address.
             self._delete(item.key)
         self._delete_predecessors(upstream, revision)
-        self._entries[item.key] = DirectoryEntry(upstream, item.position)
+        is_recorded = stored.state is not _model.UpstreamState.READY
+        self._entries[item.key] = DirectoryEntry(
+            upstream, item.position, is_recorded
+        )
         self._keys_by_address.setdefault(_address(upstream), set()).add(
             item.key
         )
@@ -431,8 +463,13 @@
             state=upstream.state,
             revision=revision,
         )
-        if upstream.state is not _model.UpstreamState.READY:
-            self._deps.on_departure(upstream)
+        if upstream.state is _model.UpstreamState.READY:
+            return
+        self._departures.add(upstream)
+        self._deps.on_departure(upstream)
+        if not is_recorded:
+            # The entry may have been written late, or come from a copy.
+            self._deps.on_unrecorded(upstream)
 
     def _delete_predecessors(
         self, upstream: _model.Upstream, revision: int
@@ -552,13 +589,18 @@
     def _list(self) -> store.Position:
         """Lists all entries and returns the position to watch from."""
         page = self._deps.store.list_prefix(PREFIX)
+        is_new_era = page.as_of.era != self._covered.era
         present = {item.key for item in page.items}
+        if is_new_era:
+            self._keep_departures(present)
         for item in page.items:
             self.apply(item)
             self.revision = max(self.revision, item.position.revision)
         for key in list(self._entries):
             if key not in present:
                 self._handle_removal(key)
+        if is_new_era:
+            self._log_era(page)
         self._covered = page.as_of
         self.lacks_entries = False
         self._store_failing = False
@@ -566,3 +608,37 @@
         self.synced.set()
         self.informed.set()
         return page.as_of
+
+    def _keep_departures(self, present: Collection[str]) -> None:
+        """Keeps departures that a copy of the store does not have.
+
+        Those of which it has an entry are handled when that is applied.
+        """
+        for entry in self._entries.values():
+            if entry.upstream.state is not _model.UpstreamState.READY:
+                self._departures.renew(entry.upstream)
+        for departed in self._departures.list_all():
+            if PREFIX + departed.id in present:
+                continue
+            if not self._has_later_incarnation(departed):
+                self._deps.on_unrecorded(departed)
+
+    def _log_era(self, page: store.Page) -> None:
+        if self._covered == store.NO_POSITION:
+            # This is the first list of the process.
+            return
+        departures = self._departures.list_all()
+        telemetry.event(
+            _LOGGER,
+            "directory.new_era",
+            level=logging.WARNING,
+            era=page.as_of.era,
+            former=self._covered.era,
+            revision=page.as_of.revision,
+            before=self._covered.revision,
+            entries=len(page.items),
+            lapsed=sum(
+                entry.lapsed_at is not None for entry in self._entries.values()
+            ),
+            unrecorded=sum(self.needs_record(each) for each in departures),
+        )
--- a/flamingolug/gateway/_metrics.py
+++ b/flamingolug/gateway/_metrics.py
@@ -18,6 +18,7 @@
 CUT_REQUESTS = "flamingolug.entry.requests.cut"
 UNDELIVERED = "flamingolug.entry.connections.undelivered"
 DEPARTURE_REQUESTS = "flamingolug.departures.passed_on"
+RECORDS_RESTORED = "flamingolug.departures.restored"
 DURATION = "flamingolug.entry.duration"
 #: Upper bounds of the latency histogram in seconds; two buckets per doubling
 #: around the usual latency targets.
@@ -53,6 +54,9 @@
             "Records that other nodes were to write",
             "result",
         )
+        counters.declare(
+            RECORDS_RESTORED, "Records that the store had lost", "result"
+        )
         self._buckets = [0] * (len(BUCKETS_S) + 1)
         self._sum_s = 0.0
 
--- a/flamingolug/gateway/_model.py
+++ b/flamingolug/gateway/_model.py
@@ -258,3 +258,5 @@
     detection_s: float = 3.0
     #: Memory above which the platform ends the process.
     memory_bytes: int = 300_000_000
+    #: Write calls that all nodes together may make to the store in a second.
+    store_writes_per_s: float = 400.0
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -20,6 +20,7 @@
 from flamingolug.gateway import _model
 from flamingolug.gateway import _peer_server
 from flamingolug.gateway import _pressure
+from flamingolug.gateway import _record_keeper
 from flamingolug.gateway import _request
 from flamingolug.gateway import _upstreams
 from flamingolug.gateway import _watch_checks
@@ -199,6 +200,9 @@
             ),
             # The entry of a node that is gone lasts as long anyway.
             lambda: _check_interval_s(parts, _announcer.LEASE_TTL_S),
+            lambda departed: parts.get(
+                "gateway.record-keeper", _record_keeper.RecordKeeper
+            ).restore(departed),
         )
     )
 
@@ -230,18 +234,51 @@
 
 
 @kernel.plugin(
-    "gateway.announcer", ("gateway.directory", "gateway.gate"), PROGRAM
+    "gateway.announcer",
+    ("gateway.directory", "gateway.gate", "gateway.random"),
+    PROGRAM,
 )
 def _build_announcer(parts: kernel.Kernel) -> object:
+    cfg = _settings(parts)
     gate = parts.get("gateway.gate", _gate.Gate)
-    return _announcer.Announcer(
+    directory = parts.get("gateway.directory", _directory.Directory)
+    announcer = _announcer.Announcer(
         _announcer.Dependencies(
-            _settings(parts),
+            cfg,
             _store(parts),
             _timers(parts),
             lambda: gate.report,
-            parts.get("gateway.directory", _directory.Directory).find_entry,
+            directory.find_entry,
             gate.handle_departure,
+            lambda: _announcer.rewrite_window_s(
+                directory.node_count(), cfg.store_writes_per_s
+            ),
+            _rng(parts),
+        )
+    )
+    _store(parts).on_new_era(lambda era: announcer.handle_new_era())
+    return announcer
+
+
+@kernel.plugin(
+    "gateway.record-keeper",
+    ("gateway.announcer", "gateway.departure-records", "gateway.directory"),
+    PROGRAM,
+)
+def _build_record_keeper(parts: kernel.Kernel) -> object:
+    directory = parts.get("gateway.directory", _directory.Directory)
+    announcer = parts.get("gateway.announcer", _announcer.Announcer)
+    return _record_keeper.RecordKeeper(
+        _record_keeper.Dependencies(
+            _settings(parts).link,
+            _timers(parts),
+            _metrics_of(parts),
+            parts.get(
+                "gateway.departure-records", _departure_records.DepartureRecords
+            ),
+            directory.node_addresses,
+            directory.needs_record,
+            announcer.announces_departure_of,
         )
     )
 
--- a/flamingolug/gateway/tests/test_announcer.py
+++ b/flamingolug/gateway/tests/test_announcer.py
@@ -4,6 +4,7 @@
 view is outdated reads first. Hundreds of nodes start together.
 """
 
+import random
 import types
 import unittest
 from collections.abc import Callable
@@ -116,6 +117,7 @@
             known = _directory.DirectoryEntry(
                 _ENTRY._replace(state=known_state),
                 store.Position(1, known_revision),
+                known_state is not _model.UpstreamState.READY,
             )
         timers: Any = types.SimpleNamespace(now=lambda: 100.0)
         cfg: Any = types.SimpleNamespace(
@@ -131,6 +133,8 @@
                 lambda: self.report,
                 lambda key: known if key == _KEY else None,
                 self.handle_departure,
+                lambda: 0.0,
+                random.Random(1),
             )
         )
         announcer.start()
@@ -247,6 +251,39 @@
                 self.assertEqual(kv.write_leases, [1, 2])
                 self.assertEqual(kv.deleted_at, [])
 
+    # Guards against a store that has lost the entry while the node takes it for
+    # written, and against a lease whose number belongs to another node now.
+    def test_entry_and_departure_are_written_again_in_a_new_era(self) -> None:
+        for state in _model.UpstreamState:
+            with self.subTest(state):
+                self.setUp()
+                kv = _Store(0)
+                announcer = self.start_announcer(kv)
+                announcer.publish().wait(0.1)
+                self.leave(state)
+                self.assertTrue(announcer.publish().wait(0.1))
+                writes = len(kv.write_leases)
+                # The copy has neither.
+                kv.revision = 0
+                announcer.handle_new_era()
+                departs = state is not _model.UpstreamState.READY
+                self.assertEqual(announcer.has_unwritten_departure, departs)
+                gevent.sleep(0.01)
+                self.assertFalse(announcer.has_unwritten_departure)
+                self.assertEqual(len(kv.write_leases), writes + 1)
+                self.assertEqual(kv.write_leases[-1], writes + 1)
+
+    # Guards against a fleet that writes more than the store accepts.
+    def test_entries_are_written_again_within_the_rate_of_the_store(
+        self,
+    ) -> None:
+        for nodes, writes_per_s in ((17, 400.0), (194, 3200.0)):
+            with self.subTest(nodes=nodes):
+                window_s = _announcer.rewrite_window_s(nodes, writes_per_s)
+                calls = nodes * _announcer.REWRITE_CALLS
+                self.assertLess(calls / window_s, writes_per_s)
+                self.assertLess(window_s, _directory.LAPSE_GRACE_S)
+
     # Guards against a late report that replaces the record of a departure which
     # an earlier process has acknowledged.
     def test_record_of_a_departure_is_not_replaced(self) -> None:
--- a/flamingolug/gateway/tests/test_departure_records.py
+++ b/flamingolug/gateway/tests/test_departure_records.py
@@ -130,6 +130,14 @@
 
     # Guards against a record that replaces the entry of an upstream that was
     # started again under its id.
+    # Guards against a departure that only its own node knows, which then ends.
+    def test_few_nodes_are_told_of_a_departure(self) -> None:
+        links = _Links()
+        self.make_records(_Store(None), links).tell_peers(_GONE)
+        gevent.sleep(0.01)
+        self.assertEqual(len(links.asked), _departure_records.NODES_TOLD)
+        self.assertIn(("h", 7), links.asked)
+
     def test_later_incarnation_is_not_replaced(self) -> None:
         later = _READY._replace(start_time_ms=6)
         kv = _Store(later)
--- a/flamingolug/gateway/tests/test_directory.py
+++ b/flamingolug/gateway/tests/test_directory.py
@@ -46,6 +46,7 @@
 
     def __init__(self) -> None:
         self.items: list[store.Item] = []
+        self.era = 1
         self.as_of = 0
         self.unavailable = False
         self.list_calls = 0
@@ -57,7 +58,11 @@
         self.list_calls += 1
         if self.unavailable:
             raise errors.StoreUnavailableError("down", step="t", peer="t")
-        return store.Page(list(self.items), store.Position(1, self.as_of))
+        items = [
+            item._replace(position=item.position._replace(era=self.era))
+            for item in self.items
+        ]
+        return store.Page(items, store.Position(self.era, self.as_of))
 
     def watch(
         self, prefix: str, after: store.Position, wait_s: float
@@ -78,6 +83,7 @@
         self.store = _Store()
         self.requests_to_peers = 0
         self.departed: list[_model.Upstream] = []
+        self.unrecorded: list[_model.Upstream] = []
         self.used_at = 0.0
         subscription = types.SimpleNamespace(cancel=lambda: None)
         timers: Any = types.SimpleNamespace(
@@ -95,6 +101,7 @@
                 self._request_from_peer,
                 lambda: self.used_at,
                 lambda: _CHECK_INTERVAL_S,
+                self.unrecorded.append,
             )
         )
         self.addCleanup(self.directory.stop)
@@ -252,6 +259,47 @@
         self.directory.apply(_item("a", 5))
         self.assertEqual(self._names(), {"a"})
 
+    # Guards against a copy of the store that makes nodes forget a departure.
+    def test_departure_outlasts_the_record_of_a_former_era(self) -> None:
+        self._restart_in_new_era([_item("b", 3)])
+        self.assertEqual(self._names(), {"b"})
+        self.assertEqual([each.id for each in self.unrecorded], ["a"])
+        (departed,) = self.unrecorded
+        self.assertTrue(self.directory.needs_record(departed))
+        self.directory.apply(
+            _departed("a", 1)._replace(position=store.Position(2, 6))
+        )
+        self.assertFalse(self.directory.needs_record(departed))
+
+    def _restart_in_new_era(self, items: list[store.Item]) -> None:
+        """Lists a copy of the store in which "b" is and "a" has not left."""
+        self.store.items = [_item("b", 3)]
+        self.store.as_of = 9
+        self._start()
+        self.directory.apply(
+            _departed("a", 1)._replace(position=store.Position(1, 11))
+        )
+        self.assertEqual(self.unrecorded, [])
+        self.store.era = 2
+        self.store.as_of = 5
+        self.store.items = items
+        self.directory._restart()
+        gevent.sleep(0.01)
+
+    # Guards against the record of an earlier incarnation, which would keep the
+    # later one out.
+    def test_departure_before_a_known_incarnation_needs_no_record(self) -> None:
+        self.store.as_of = 9
+        self._start()
+        self.directory.merge_from_peer(
+            _directory.KnownEntries([], [_departed("a", 0)])
+        )
+        self.directory.apply(_item("a", 10))
+        self.store.era = 2
+        self.directory._restart()
+        gevent.sleep(0.01)
+        self.assertEqual(self.unrecorded, [])
+
     # Guards against two processes that confirm each other's ignorance.
     def test_only_an_informed_node_informs_others(self) -> None:
         self.assertIsNone(self.directory.entries(0))
--- a/flamingolug/gateway/tests/test_shift_load.py
+++ b/flamingolug/gateway/tests/test_shift_load.py
@@ -105,6 +105,7 @@
                 lambda: None,
                 lambda: 0.0,
                 lambda: 0.0,
+                lambda departed: None,
             )
         )
         for revision, upstream in enumerate(upstreams, 1):
--- a/flamingolug/gateway/tests/test_upstreams.py
+++ b/flamingolug/gateway/tests/test_upstreams.py
@@ -40,6 +40,7 @@
                 lambda: None,
                 lambda: 0.0,
                 lambda: 0.0,
+                lambda departed: None,
             )
         )
         for number in range(own_zone + other_zone):
--- a/flamingolug/platform/_settings.py
+++ b/flamingolug/platform/_settings.py
@@ -42,6 +42,7 @@
 class _Platform(msgspec.Struct):
     address: str = msgspec.field(name="Address")
     min_lease_ms: float = msgspec.field(name="TtlMinMs", default=1000.0)
+    writes_per_s: float = msgspec.field(name="WritesPerS", default=400.0)
 
 
 class _SettingsFile(msgspec.Struct):
@@ -107,6 +108,7 @@
         ),
         detection_s=parsed.bounds.in_touch_ms / 1000.0,
         memory_bytes=int(parsed.limits.memory_mb * 1_000_000),
+        store_writes_per_s=max(parsed.platform.writes_per_s, 1.0),
     )
 
 
--- a/flamingolug/platform/tests/test_drills.py
+++ b/flamingolug/platform/tests/test_drills.py
@@ -22,6 +22,8 @@
 _TOUCH_S = 3.0
 #: Seconds within which a configuration is in force, `ConfigApplyMs`.
 _CONFIG_APPLY_S = 2.0
+#: Seconds after the return of the store in which lapsed entries are back.
+_ENTRIES_BACK_S = 2.0
 #: Seconds for which the store is away in a drill.
 _AWAY_S = 0.5
 
@@ -173,3 +175,145 @@
         self.assertEqual(self.client.era, 2)
         self.assertEqual(eras, [2])
         self.assertEqual(self.counted, ["begun", "former", "former"])
+
+
+class DepartureTest(unittest.TestCase):
+    """Departures that a node acknowledged and that the store has lost."""
+
+    def setUp(self) -> None:
+        routes = [documents.make_route("read", "front")]
+        self.deployment = deployment.Deployment(("shelf", "desk"), routes)
+        self.addCleanup(self.deployment.stop)
+        self.front = processes.NodeProcess("front", self.deployment)
+        self.addCleanup(self.front.close)
+
+    def leave(self, depart: str) -> bytes:
+        """Has the server leave; returns a late report of it."""
+        server = self.front.server
+        server.sequence += 1
+        report = server.make_report("ready")
+        if depart == "draining":
+            self.assertEqual(server.report("draining"), 200)
+        else:
+            self.assertEqual(server.deregister(), 200)
+        return report
+
+    def drill(self, copy: leased_store.Copy) -> None:
+        kv = self.deployment.store
+        kv.down = True
+        gevent.sleep(_AWAY_S)
+        kv.restore(copy)
+        kv.down = False
+
+    def assert_record_within(self, limit_s: float) -> None:
+        began_at = time.monotonic()
+        deployment.wait_until(self.is_recorded, "the record is written again")
+        self.assertLess(time.monotonic() - began_at, limit_s)
+
+    def is_recorded(self) -> bool:
+        entry = self.front.stored_entry()
+        return entry is not None and entry.state != "ready"
+
+    def assert_late_report_has_no_effect(self, report: bytes) -> None:
+        """Asserts that nothing runs once the node is in touch."""
+        self.front.server.post("heartbeat", report)
+        gevent.sleep(_TOUCH_S)
+        executed = len(self.front.server.executed_ids)
+        for number in range(3):
+            processes.ask_once(
+                self.front.outbound, b"/read/x", f"late{number}", 500
+            )
+        self.assertEqual(self.front.server.executed_ids[executed:], [])
+
+    # Guards against a node that takes the record for written, ends, and whose
+    # next process believes the entry of the copy.
+    def test_departure_outlasts_a_drill_and_a_planned_restart(self) -> None:
+        for depart in ("draining", "gone"):
+            with self.subTest(depart):
+                copy = self.deployment.store.copy()
+                report = self.leave(depart)
+                self.drill(copy)
+                self.assert_record_within(_ENTRIES_BACK_S)
+                self.drill(copy)
+                self.front.stop()
+                self.front.wait()
+                self.front.start()
+                self.assert_late_report_has_no_effect(report)
+                self.assertTrue(self.is_recorded())
+                self.front.server.start_time_ms += 1
+                self.front.server.state = "ready"
+                self.front.server.sequence = 0
+                self.assertEqual(self.front.server.report(), 200)
+                deployment.wait_until(
+                    lambda: not self.is_recorded(), "the next one is announced"
+                )
+
+    # Guards against a record that no node writes again, since the one that
+    # acknowledged the departure has ended.
+    def test_departure_is_recorded_again_by_the_nodes_that_remain(
+        self,
+    ) -> None:
+        copy = self.deployment.store.copy()
+        report = self.leave("gone")
+        self.front.kill()
+        # A node whose server does not report is not in the directory.
+        for instance in self.deployment.instances:
+            instance.server.report()
+        for _ in range(2):
+            self.drill(copy)
+            self.assert_record_within(_ENTRIES_BACK_S)
+        self.front.start()
+        self.assert_late_report_has_no_effect(report)
+
+    # Guards against a process that starts before the record is written again
+    # and keeps to the entry of the copy.
+    def test_departure_is_known_to_a_process_that_starts_in_a_drill(
+        self,
+    ) -> None:
+        copy = self.deployment.store.copy()
+        report = self.leave("gone")
+        self.front.kill()
+        self.deployment.store.down = True
+        self.front.start_without_configuration()
+        gevent.sleep(_AWAY_S)
+        self.deployment.store.restore(copy)
+        self.deployment.store.down = False
+        self.front.wait_ready()
+        self.assert_late_report_has_no_effect(report)
+
+    # Guards against a planned stop that ends in the drill, before the record
+    # is written again.
+    def test_departure_outlasts_a_drill_during_the_planned_stop(self) -> None:
+        copy = self.deployment.store.copy()
+        report = self.leave("gone")
+        self.front.stop()
+        self.drill(copy)
+        self.front.wait()
+        self.assert_record_within(_ENTRIES_BACK_S)
+        self.front.start()
+        self.assert_late_report_has_no_effect(report)
+
+    # Guards against an acknowledgement whose record was written just before the
+    # copy was put in its place.
+    def test_departure_outlasts_a_drill_during_its_acknowledgement(
+        self,
+    ) -> None:
+        kv = self.deployment.store
+        copy = kv.copy()
+        server = self.front.server
+        server.sequence += 1
+        report = server.make_report("ready")
+        # The record is written, and its writer gets no answer.
+        kv.lose_transactions = True
+        notice = gevent.spawn(server.deregister)
+        deployment.wait_until(self.is_recorded, "the record is written")
+        kv.restore(copy)
+        kv.lose_transactions = False
+        notice.join()
+        deployment.wait_until(
+            lambda: server.deregister() == 200, "the leave is acknowledged"
+        )
+        self.assert_record_within(_ENTRIES_BACK_S)
+        self.front.kill()
+        self.front.start()
+        self.assert_late_report_has_no_effect(report)
--- a/flamingolug/policy/__init__.py
+++ b/flamingolug/policy/__init__.py
@@ -12,6 +12,7 @@
 from flamingolug.policy._limit import initial_limit
 from flamingolug.policy._limit import LimitState
 from flamingolug.policy._limit import next_limit
+from flamingolug.policy._ownership import candidates_for
 from flamingolug.policy._ownership import owner_of
 from flamingolug.policy._retry import decide_retry
 from flamingolug.policy._retry import RetryContext
@@ -35,6 +36,7 @@
     "RetryDecision",
     "allowance_for_attempt",
     "allowance_for_child_call",
+    "candidates_for",
     "choose_upstream",
     "decide_retry",
     "initial_limit",
--- a/flamingolug/policy/_ownership.py
+++ b/flamingolug/policy/_ownership.py
@@ -1,20 +1,26 @@
-"""Assigns idempotency keys to nodes by rendezvous hashing."""
+"""Assigns keys to nodes by rendezvous hashing."""
 
 import hashlib
 from collections.abc import Iterable
 
 
+def _weight(key: str, name: str) -> tuple[bytes, str]:
+    digest = hashlib.blake2b(f"{name}\n{key}".encode(), digest_size=8).digest()
+    return digest, name
+
+
 def owner_of(key: str, names: Iterable[str]) -> str | None:
     """Returns the owner of `key` among `names`, None when there are no names.
 
     The result depends only on the arguments; removing a name reassigns only
     the keys that it owned.
     """
-    best: tuple[bytes, str] | None = None
-    for name in names:
-        weight = hashlib.blake2b(
-            f"{name}\n{key}".encode(), digest_size=8
-        ).digest()
-        if best is None or (weight, name) > best:
-            best = (weight, name)
-    return best[1] if best else None
+    return max(names, key=lambda name: _weight(key, name), default=None)
+
+
+def candidates_for(key: str, names: Iterable[str]) -> list[str]:
+    """Returns `names` in the order in which they would own `key`.
+
+    Each is the owner once those before it are removed.
+    """
+    return sorted(names, key=lambda name: _weight(key, name), reverse=True)
--- a/flamingolug_standins/leased_store.py
+++ b/flamingolug_standins/leased_store.py
@@ -54,6 +54,8 @@
         lose_watches: responses to watches are lost while it is set.
         lose_answers: POST requests take effect and are not answered while it
             is set.
+        lose_transactions: transactions take effect and are not answered while
+            it is set.
         lost_responses: number of responses that were lost. Nothing further is
             returned on their connections.
         delay_s: seconds added to the response time of each request.
@@ -76,6 +78,7 @@
         self.lose_watches = False
         self.lost_responses = 0
         self.lose_answers = False
+        self.lose_transactions = False
         self.delay_s = 0.0
         self.calls: dict[str, int] = {}
         #: Value, revision and lease (0 for none) by key.
@@ -199,7 +202,9 @@
         args = dict(parse.parse_qsl(query))
         body = msgspec.json.decode(req.body) if req.body else {}
         response = self._route(req.method.decode(), path, args, body)
-        while self.lose_answers and req.method == b"POST":
+        while (self.lose_answers and req.method == b"POST") or (
+            self.lose_transactions and path == "/v1/kv-txn"
+        ):
             gevent.sleep(0.05)
         if self._is_silent(req) or (self.lose_watches and path == _WATCH_PATH):
             self._lose_response()
