Have a peer read the store before it informs a process that starts

Cause: the answer of any one peer informed a process, also of one that had not reached the store since before the departure. Ruled out: the record, which another node had written, and the notice over links.

Change: a peer catches up with the store before it answers, and says whether the store has answered. Only that informs at once.

--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -120,6 +120,8 @@
     ready: list[store.Item]
     #: Of upstreams that leave or have left.
     departed: list[store.Item]
+    #: Whether they include all that was in the store at the request.
+    is_current: bool = False
 
 
 class DirectoryEntry:
@@ -164,7 +166,7 @@
         """Creates an empty directory."""
         #: Set once all entries have been read from the store.
         self.synced = event.Event()
-        #: Set then, or once a peer that has read them has sent its own.
+        #: Set then, or once peers have sent enough to know of departures.
         self.informed = event.Event()
         #: Whether the store was unavailable at the start and no peer has sent
         #: entries either.
@@ -254,6 +256,27 @@
         )
         self._restart()
 
+    def catch_up(self) -> bool:
+        """Applies all changes in the store; returns whether it has answered.
+
+        The task that watches the store may lag behind, or wait for a response
+        that was lost.
+        """
+        if not self.synced.is_set():
+            return False
+        try:
+            try:
+                page = self._deps.store.watch(PREFIX, self._covered, 0.0)
+            except errors.HistoryLostError:
+                self._list()
+                return True
+        except errors.StoreError as exc:
+            telemetry.failure(_LOGGER, "directory.not_caught_up", exc)
+            return False
+        for item in page.items:
+            self.apply(item)
+        return True
+
     def find(self, upstream_id: str) -> _model.Upstream | None:
         """Returns an upstream that is present or departed, None otherwise."""
         entry = self.find_entry(PREFIX + upstream_id)
@@ -412,13 +435,16 @@
     def merge_from_peer(self, known: KnownEntries) -> None:
         """Applies what a peer knows and this node does not.
 
-        Later entries from the store replace them.
+        Later entries from the store replace them. Only a peer that has caught
+        up with the store informs this node; what another one knows of
+        departures may be incomplete.
         """
         for item in known.departed:
             departed = decode_entry(item.key, item.value or b"")
             if departed and departed.state is not _model.UpstreamState.READY:
                 self.record_departure(departed)
-        self.informed.set()
+        if known.is_current:
+            self.informed.set()
         after = self.complete_revision
         newer = [item for item in known.ready if item.position.revision > after]
         if not newer:
--- a/flamingolug/gateway/_frames.py
+++ b/flamingolug/gateway/_frames.py
@@ -129,6 +129,8 @@
 
     #: Only entries with a higher revision are requested.
     after_revision: int
+    #: Whether the receiver should catch up with the store before it answers.
+    read_store: bool = False
 
 
 class EntryFrame(msgspec.Struct, array_like=True, frozen=True):
@@ -146,6 +148,8 @@
     entries: list[EntryFrame]
     #: Of all upstreams that leave or have left.
     departures: list[EntryFrame] = []
+    #: Whether the sender has caught up with the store since the request.
+    is_current: bool = False
 
 
 class DepartureFrame(msgspec.Struct, array_like=True, tag=11, frozen=True):
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -119,8 +119,13 @@
     #: Returns the directory's entries after a revision, None while it has read
     #: none.
     entries: Callable[[int], _directory.KnownEntries | None]
-    #: Handles directory entries from a peer.
-    on_entries: Callable[[_directory.KnownEntries], None]
+    #: Catches up with the store; returns whether it has answered.
+    catch_up: Callable[[], bool]
+    #: Handles directory entries from a peer: the entries, and the address of
+    #: the peer if this node opened the link.
+    on_entries: Callable[
+        [_directory.KnownEntries, tuple[str, int] | None], None
+    ]
     #: Handles the departure of an upstream; calls the second argument once it
     #: is in the store, if the frame requests that.
     on_departure: Callable[[_frames.DepartureFrame, Callable[[], object]], None]
@@ -499,13 +504,23 @@
             self._deps.on_status(
                 self.address, frame.upstream_id, load_from_frame(frame.load)
             )
-        handle_shared_frame(connection, frame, self._deps)
+        handle_shared_frame(connection, frame, self._deps, self.address)
 
 
 def handle_shared_frame(
-    connection: FrameConnection, frame: _frames.Frame, deps: Dependencies
+    connection: FrameConnection,
+    frame: _frames.Frame,
+    deps: Dependencies,
+    address: tuple[str, int] | None = None,
 ) -> None:
-    """Handles a frame that is handled alike on both sides of a link."""
+    """Handles a frame that is handled alike on both sides of a link.
+
+    Args:
+        connection: connection that the frame came on.
+        frame: the frame.
+        deps: dependencies of links.
+        address: address of the peer if this node opened the link.
+    """
     if isinstance(frame, _frames.Hello | _frames.Ping | _frames.Status):
         if frame.version > deps.version():
             connection.send(_frames.ConfigurationRequest())
@@ -521,14 +536,10 @@
         deps.on_document(frame.document)
         return
     if isinstance(frame, _frames.EntriesRequest):
-        known = deps.entries(frame.after_revision)
-        if known is not None:
-            connection.send(
-                _frames.EntriesFrame(
-                    [_to_entry_frame(item) for item in known.ready],
-                    [_to_entry_frame(item) for item in known.departed],
-                )
-            )
+        if frame.read_store:
+            gevent.spawn(_send_current_entries, connection, frame, deps)
+        else:
+            _send_entries(connection, frame, deps, is_current=False)
         return
     if isinstance(frame, _frames.DepartureFrame):
         recorded = _frames.DepartureRecorded(frame.number)
@@ -542,8 +553,39 @@
             _directory.KnownEntries(
                 [_from_entry_frame(entry) for entry in frame.entries],
                 [_from_entry_frame(entry) for entry in frame.departures],
-            )
+                frame.is_current,
+            ),
+            address,
+        )
+
+
+def _send_current_entries(
+    connection: FrameConnection,
+    request: _frames.EntriesRequest,
+    deps: Dependencies,
+) -> None:
+    is_current = deps.catch_up()
+    _send_entries(connection, request, deps, is_current=is_current)
+
+
+def _send_entries(
+    connection: FrameConnection,
+    request: _frames.EntriesRequest,
+    deps: Dependencies,
+    *,
+    is_current: bool,
+) -> None:
+    """Sends the entries that this node has, if it knows of departures."""
+    known = deps.entries(request.after_revision)
+    if known is None:
+        return
+    connection.send(
+        _frames.EntriesFrame(
+            [_to_entry_frame(item) for item in known.ready],
+            [_to_entry_frame(item) for item in known.departed],
+            is_current,
         )
+    )
 
 
 def _to_entry_frame(item: store.Item) -> _frames.EntryFrame:
--- a/flamingolug/gateway/_peer_server.py
+++ b/flamingolug/gateway/_peer_server.py
@@ -72,7 +72,7 @@
         self._send_status(connection)
         self._send_departure(connection)
         if self._deps.lacks_entries():
-            connection.send(_frames.EntriesRequest(0))
+            connection.send(_frames.EntriesRequest(0, read_store=True))
         try:
             for frames in connection.read():
                 for frame in frames:
@@ -124,7 +124,7 @@
         """Requests the entries of upstreams from a random linked node."""
         if self._connections:
             connection = self._deps.rng.choice(list(self._connections))
-            connection.send(_frames.EntriesRequest(0))
+            connection.send(_frames.EntriesRequest(0, read_store=True))
 
     def _send_status_to_all(self) -> None:
         self._status_due = False
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -18,6 +18,7 @@
 from flamingolug.gateway import _link
 from flamingolug.gateway import _metrics
 from flamingolug.gateway import _model
+from flamingolug.gateway import _peer_inquiry
 from flamingolug.gateway import _peer_server
 from flamingolug.gateway import _pressure
 from flamingolug.gateway import _record_keeper
@@ -159,7 +160,10 @@
         lambda revision: directory().record_peer_revision(revision),
         lambda: directory().complete_revision,
         lambda after: directory().entries(after),
-        lambda known: directory().merge_from_peer(known),
+        lambda: directory().catch_up(),
+        lambda known, address: parts.get(
+            "gateway.peer-inquiry", _peer_inquiry.PeerInquiry
+        ).handle_answer(known, address),
         lambda frame, confirm: records().handle_frame(frame, confirm),
         lambda number: records().handle_recorded(number),
     )
@@ -207,6 +211,23 @@
     )
 
 
+@kernel.plugin(
+    "gateway.peer-inquiry",
+    ("gateway.directory", "gateway.links", "gateway.random"),
+    PROGRAM,
+)
+def _build_peer_inquiry(parts: kernel.Kernel) -> object:
+    return _peer_inquiry.PeerInquiry(
+        _peer_inquiry.Dependencies(
+            _settings(parts).link,
+            _timers(parts),
+            _rng(parts),
+            parts.get("gateway.links", _link.Links),
+            parts.get("gateway.directory", _directory.Directory),
+        )
+    )
+
+
 @kernel.plugin(
     "gateway.departure-records",
     ("gateway.directory", "gateway.links", "gateway.random"),
--- a/flamingolug/gateway/tests/test_directory.py
+++ b/flamingolug/gateway/tests/test_directory.py
@@ -71,6 +71,8 @@
         del prefix
         if not wait_s:
             self.check_calls += 1
+            if self.unavailable:
+                raise errors.StoreUnavailableError("down", step="t", peer="t")
             items = [item for item in self.items if item.position > after]
             return store.Page(items, store.Position(1, self.as_of))
         gevent.sleep(3600.0)
@@ -303,14 +305,35 @@
     # Guards against two processes that confirm each other's ignorance.
     def test_only_an_informed_node_informs_others(self) -> None:
         self.assertIsNone(self.directory.entries(0))
-        self.directory.merge_from_peer(
-            _directory.KnownEntries([_item("b", 5)], [_departed("a", 1)])
-        )
+        known = _directory.KnownEntries([_item("b", 5)], [_departed("a", 1)])
+        self.directory.merge_from_peer(known)
+        self.assertEqual(self._names(), {"b"})
+        # The store may have turned away that peer too.
+        self.assertFalse(self.directory.informed.is_set())
+        self.assertIsNone(self.directory.entries(0))
+        self.directory.merge_from_peer(known._replace(is_current=True))
         self.assertTrue(self.directory.informed.is_set())
+        told = self.directory.entries(0)
+        assert told is not None
+        self.assertEqual(len(told.ready), 1)
+        self.assertEqual(len(told.departed), 1)
+
+    # Guards against a node that passes on what it knew when its watch was last
+    # answered as all that the store has.
+    def test_node_catches_up_with_the_store_for_a_peer(self) -> None:
+        self.assertFalse(self.directory.catch_up())
+        self.store.items = [_item("b", 5)]
+        self.store.as_of = 9
+        self._start()
+        self.assertTrue(self.directory.catch_up())
+        gone = _departed("a", 1)._replace(position=store.Position(1, 11))
+        self.store.items.append(gone)
+        self.assertTrue(self.directory.catch_up())
         known = self.directory.entries(0)
         assert known is not None
-        self.assertEqual(len(known.ready), 1)
-        self.assertEqual(len(known.departed), 1)
+        self.assertEqual([each.key for each in known.departed], [gone.key])
+        self.store.unavailable = True
+        self.assertFalse(self.directory.catch_up())
 
     def test_start_without_the_store_requests_entries_from_a_peer(self) -> None:
         self.store.unavailable = True
--- a/flamingolug/platform/tests/processes.py
+++ b/flamingolug/platform/tests/processes.py
@@ -66,11 +66,13 @@
         test_deployment: deployment.Deployment,
         accept_s: float = ACCEPT_S,
         grace_s: float = GRACE_S,
+        route: str = "read",
     ) -> None:
-        """Starts the node and its server; waits until it serves.
+        """Starts the node and its server; waits until it serves a route.
 
         The node calls the store at an address of its own (`store_address`).
         """
+        self._route = route
         self.host = deployment.next_host()
         base = deployment._BASE_PORT
         self.outbound = (self.host, base + deployment._OUTBOUND)
@@ -175,7 +177,8 @@
 
     def _serves(self) -> bool:
         request_id = f"probe-{time.monotonic()}"
-        return ask_once(self.outbound, b"/read/x", request_id) == 200
+        target = f"/{self._route}/x".encode()
+        return ask_once(self.outbound, target, request_id) == 200
 
 
 class Caller:
--- a/flamingolug/platform/tests/test_departures.py
+++ b/flamingolug/platform/tests/test_departures.py
@@ -200,6 +200,47 @@
                 nodes.store.down = False
                 front.kill()
 
+    # Guards against a process that takes itself for informed by one peer, which
+    # the store has turned away since before the departure.
+    def test_process_does_not_rely_on_a_peer_that_the_store_turns_away(
+        self,
+    ) -> None:
+        services = ("shelf", "desk", "bank")
+        routes = [documents.make_route(each, each) for each in services]
+        nodes = deployment.Deployment(services, [*_ROUTES, *routes])
+        self.addCleanup(nodes.stop)
+        front = processes.NodeProcess("front", nodes)
+        self.addCleanup(front.close)
+        # This node has no link to the other one.
+        other = processes.NodeProcess("post", nodes, route="shelf")
+        self.addCleanup(other.close)
+        # The notice of the departure goes to three nodes, linked ones first.
+        for service in services:
+            target = f"/{service}/x".encode()
+            status = processes.ask_once(front.outbound, target, service)
+            self.assertEqual(status, 200)
+        kv = nodes.store
+        kv.turned_away |= {front.store_address, other.store_address}
+        # The store ends the watches that wait.
+        gevent.sleep(1.0)
+        front.server.sequence += 1
+        report = front.server.make_report("ready")
+        for instance in nodes.instances:
+            instance.server.report()
+        self.assertEqual(front.server.deregister(), 200)
+        front.kill()
+        front.start_without_configuration()
+        # The other node opens a link, since it takes the upstream for ready.
+        processes.ask_once(other.outbound, b"/read/x", "link", 500)
+        front.wait_ready()
+        executed = len(front.server.executed_ids)
+        for number in range(4):
+            front.server.post("heartbeat", report)
+            processes.ask_once(
+                front.outbound, b"/read/x", f"late-{number}", 500
+            )
+        self.assertEqual(front.server.executed_ids[executed:], [])
+
     # Guards against an acknowledgement that the next process can't know of.
     def test_stopping_node_does_not_acknowledge_what_it_can_not_write(
         self,
