Compare entries and what peers tell by position

Cause: the directory dropped the entry that was written again, since its revision was lower than the one before the drill. Ruled out: the announcement, and the lease.

Change: positions are compared, era first, also those in frames, whose era is a field at the end. A list of the store replaces what peers have told. A later era that a peer tells makes a node ask the store, whose answer decides.

--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -5,6 +5,7 @@
 
 import ipaddress
 import logging
+import math
 import random
 from collections.abc import Callable
 from collections.abc import Collection
@@ -159,6 +160,26 @@
     return (upstream.host, upstream.port)
 
 
+def _is_outdated(item: store.Item, entry: DirectoryEntry) -> bool:
+    """Returns whether an entry is of a later revision of an item's era."""
+    if entry.position.era != item.position.era:
+        return False
+    return item.position < entry.position
+
+
+def _is_superseded(
+    item: store.Item, stored: _model.Upstream, entry: DirectoryEntry
+) -> bool:
+    """Returns whether an entry is of a later incarnation than an item.
+
+    Within one era the item is the later one, also if the clock of the backend
+    server was set back.
+    """
+    if entry.position.era == item.position.era:
+        return False
+    return stored.start_time_ms < entry.upstream.start_time_ms
+
+
 class Directory:
     """Maintains the entries of all upstreams from the store and from peers."""
 
@@ -171,16 +192,22 @@
         #: Whether the store was unavailable at the start and no peer has sent
         #: entries either.
         self.lacks_entries = False
-        #: Highest revision of an entry or removal received.
-        self.revision = 0
+        #: Highest position of an entry or removal received from the store.
+        self._received = store.NO_POSITION
+        #: Highest position of an entry merged from a peer since the entries
+        #: were listed.
+        self._merged = store.NO_POSITION
         #: Position up to which all changes have been received from the store.
         self._covered = store.NO_POSITION
-        #: Highest revision that a peer has reported.
-        self._peer_revision = 0
-        #: Since when a peer has reported a later revision than this node has,
+        #: Highest position that a peer has reported since the entries were
+        #: listed.
+        self._peer_position = store.NO_POSITION
+        #: Since when a peer has reported a later position than this node has,
         #: None if none has.
         self._behind_since: float | None = None
         self._restarted_at = 0.0
+        #: Clock reading at which a later era that a peer told was last checked.
+        self._rechecked_at = -math.inf
         #: Whether the store has failed since it last answered.
         self._store_failing = False
         #: Clock reading of the last answer of the store to a watch or check.
@@ -195,13 +222,16 @@
         self._entries_by_service: dict[str, EntriesByZone] = {}
         self._upstream_counts: dict[str, int] = {}
         self._index_outdated = False
+        #: Entries of earlier incarnations than the known ones of a former era,
+        #: by key. They apply if the known ones are not written again.
+        self._superseded: dict[str, store.Item] = {}
         self._departures = _departures.Departures(deps.timers)
 
     def start(self) -> None:
         """Starts to list and watch the store."""
         self._task = _tasks.spawn("directory", self._watch)
         self._look_timer = self._deps.timers.every(
-            CHECK_LOOK_INTERVAL_S, self._check_if_due
+            CHECK_LOOK_INTERVAL_S, self._look
         )
 
     def stop(self) -> None:
@@ -217,6 +247,10 @@
             self._task.kill(block=False)
             self._task = _tasks.spawn("directory", self._watch)
 
+    def _look(self) -> None:
+        self._apply_superseded()
+        self._check_if_due()
+
     def _check_if_due(self) -> None:
         """Starts a check if requests rely on a watch without recent answers."""
         if not self.synced.is_set() or self._store_failing or self._checking:
@@ -275,6 +309,7 @@
             return False
         for item in page.items:
             self.apply(item)
+            self._received = max(self._received, item.position)
         return True
 
     def find(self, upstream_id: str) -> _model.Upstream | None:
@@ -320,8 +355,8 @@
         """Returns the number of nodes that have an entry."""
         return len(self._keys_by_address)
 
-    def entries(self, after: int) -> KnownEntries | None:
-        """Returns all departures, and the ready entries after a revision.
+    def entries(self, after: store.Position) -> KnownEntries | None:
+        """Returns all departures, and the ready entries after a position.
 
         Returns None if neither the store nor a peer has informed this node: it
         does not know of departures then.
@@ -332,7 +367,7 @@
         for key, entry in self._entries.items():
             if entry.upstream.state is not _model.UpstreamState.READY:
                 continue
-            if entry.position.revision > after:
+            if entry.position > after:
                 value = encode_entry(entry.upstream)
                 known.ready.append(store.Item(key, value, entry.position))
         departures = {each.id: each for each in self._departures.list_all()}
@@ -347,32 +382,45 @@
         return known
 
     @property
-    def complete_revision(self) -> int:
-        """Revision up to which this node has all ready entries.
+    def position(self) -> store.Position:
+        """Highest position of an entry or removal that this node has received.
+
+        An era that only peers know of is not passed on.
+        """
+        if self._received.era and self._merged.era != self._received.era:
+            return self._received
+        return max(self._received, self._merged)
+
+    @property
+    def complete_position(self) -> store.Position:
+        """Position up to which this node has all ready entries.
 
         A peer is asked for later ones only.
 
         Everything up to it came from the store, or the ready entries of a peer
         were merged up to it.
         """
-        return max(self.revision, self._covered.revision)
+        return max(self._received, self._covered, self._merged)
 
-    def record_peer_revision(self, revision: int) -> bool:
-        """Records the last revision that a peer has received.
+    def record_peer_position(self, position: store.Position) -> bool:
+        """Records the last position that a peer has received.
 
         A node that keeps lagging behind its peers has a broken watch, which is
         restarted here, or can't reach the store.
 
         Returns:
-            Whether the peer should send its entries after `complete_revision`.
+            Whether the peer should send its entries after `complete_position`.
         """
-        if self._peer_revision <= self.complete_revision:
-            # This node has caught up with all revisions reported before.
+        complete = self.complete_position
+        now = self._deps.timers.now()
+        if 0 < self._covered.era < position.era:
+            self._recheck_era(position.era, now)
+        if self._peer_position <= complete:
+            # This node has caught up with all positions reported before.
             self._behind_since = None
-        self._peer_revision = max(self._peer_revision, revision)
-        if revision <= self.complete_revision:
+        self._peer_position = max(self._peer_position, position)
+        if position <= complete:
             return False
-        now = self._deps.timers.now()
         if self._behind_since is None:
             self._behind_since = now
         if now - self._behind_since < MAX_LAG_S:
@@ -384,14 +432,26 @@
             _LOGGER,
             "directory.behind",
             level=logging.WARNING,
-            revision=self.complete_revision,
-            told=revision,
+            era=complete.era,
+            revision=complete.revision,
+            told_era=position.era,
+            told=position.revision,
             age_s=round(now - self._behind_since, 2),
         )
         if not self._store_failing:
             self._restart()
         return True
 
+    def _recheck_era(self, era: int, now: float) -> None:
+        """Asks the store for its era, since a peer has told of a later one."""
+        if now - self._rechecked_at < MIN_RESTART_INTERVAL_S:
+            return
+        self._rechecked_at = now
+        telemetry.event(
+            _LOGGER, "directory.era_told", era=self._covered.era, told=era
+        )
+        self._deps.store.recheck_era()
+
     def needs_record(self, departed: _model.Upstream) -> bool:
         """Returns whether the store lacked a departure when last read.
 
@@ -445,33 +505,49 @@
                 self.record_departure(departed)
         if known.is_current:
             self.informed.set()
-        after = self.complete_revision
-        newer = [item for item in known.ready if item.position.revision > after]
+        after = self.complete_position
+        newer = [item for item in known.ready if item.position > after]
         if not newer:
             return
         self.lacks_entries = False
         telemetry.event(_LOGGER, "directory.from_peer", entries=len(newer))
         for item in newer:
-            self.apply(item)
-            self.revision = max(self.revision, item.position.revision)
+            entry = self._entries.get(item.key)
+            if entry is not None and item.position < entry.position:
+                continue
+            self._apply(item)
+            self._merged = max(self._merged, item.position)
 
     def apply(self, item: store.Item) -> None:
-        """Applies one entry or its removal, unless it is outdated."""
+        """Applies one entry or its removal from the store.
+
+        It is outdated if a later one of the same era is known. An entry of
+        another era, even a later one, is known from a peer or from before.
+        """
         entry = self._entries.get(item.key)
-        revision = item.position.revision
-        if entry is not None and revision < entry.position.revision:
-            return
+        if entry is None or not _is_outdated(item, entry):
+            self._apply(item)
+
+    def _apply(self, item: store.Item) -> None:
+        entry = self._entries.get(item.key)
+        self._superseded.pop(item.key, None)
         if item.value is None:
             self._handle_removal(item.key)
             return
         stored = decode_entry(item.key, item.value)
         if stored is None:
             return
+        if entry is not None and _is_superseded(item, stored, entry):
+            # The copy of the store is older than the known incarnation, whose
+            # node has some time to write it again.
+            self._handle_removal(item.key)
+            self._superseded[item.key] = item
+            return
         upstream = self._apply_departure(stored)
         if entry is not None:
             # The upstream may have a new address.
             self._delete(item.key)
-        self._delete_predecessors(upstream, revision)
+        self._delete_predecessors(upstream, item.position)
         is_recorded = stored.state is not _model.UpstreamState.READY
         self._entries[item.key] = DirectoryEntry(
             upstream, item.position, is_recorded
@@ -487,7 +563,8 @@
             service=upstream.service,
             peer=f"{upstream.host}:{upstream.port}",
             state=upstream.state,
-            revision=revision,
+            era=item.position.era,
+            revision=item.position.revision,
         )
         if upstream.state is _model.UpstreamState.READY:
             return
@@ -497,15 +574,30 @@
             # The entry may have been written late, or come from a copy.
             self._deps.on_unrecorded(upstream)
 
+    def _apply_superseded(self) -> None:
+        """Applies entries of a copy whose later incarnations are gone."""
+        for key, item in list(self._superseded.items()):
+            entry = self._entries.get(key)
+            if entry is not None and self.is_usable(entry):
+                continue
+            if entry is not None:
+                self._delete(key)
+            self._apply(item)
+
     def _delete_predecessors(
-        self, upstream: _model.Upstream, revision: int
+        self, upstream: _model.Upstream, position: store.Position
     ) -> None:
-        """Deletes older entries of the same node, which has one upstream."""
+        """Deletes older entries of the same node, which has one upstream.
+
+        Which of two eras is older does not show which upstream is: a copy of
+        the store brings a predecessor back.
+        """
         for key in list(self._keys_by_address.get(_address(upstream), ())):
             entry = self._entries[key]
             if entry.upstream.id == upstream.id:
                 continue
-            if entry.position.revision < revision:
+            is_same_era = entry.position.era == position.era
+            if is_same_era and entry.position < position:
                 self._delete(key)
 
     def _delete(self, key: str) -> None:
@@ -606,7 +698,7 @@
             after = max(after, page.as_of)
             for item in page.items:
                 self.apply(item)
-                self.revision = max(self.revision, item.position.revision)
+                self._received = max(self._received, item.position)
             self._covered = after
             self.remove_lapsed()
             if page.items:
@@ -619,15 +711,20 @@
         present = {item.key for item in page.items}
         if is_new_era:
             self._keep_departures(present)
+        self._superseded.clear()
+        self._received = store.Position(page.as_of.era, 0)
         for item in page.items:
-            self.apply(item)
-            self.revision = max(self.revision, item.position.revision)
+            # The store's word ends what peers have told.
+            self._apply(item)
+            self._received = max(self._received, item.position)
         for key in list(self._entries):
             if key not in present:
                 self._handle_removal(key)
         if is_new_era:
             self._log_era(page)
-        self._covered = page.as_of
+        self._covered = self._peer_position = page.as_of
+        self._merged = store.NO_POSITION
+        self._behind_since = None
         self.lacks_entries = False
         self._store_failing = False
         self._answered_at = self._deps.timers.now()
--- a/flamingolug/gateway/_frames.py
+++ b/flamingolug/gateway/_frames.py
@@ -2,7 +2,8 @@
 
 Arrays without field names keep frames small, since traffic between
 availability zones is expensive. Times are sent as remaining durations, never
-as clock readings.
+as clock readings. Fields are only added at the end, with a default, so that
+nodes of two versions understand each other during an upgrade.
 """
 
 import struct
@@ -27,6 +28,8 @@
     #: Revision of the latest change of a directory entry that the sender has
     #: seen.
     entries_revision: int
+    #: Era of that revision, 0 if it is unknown.
+    entries_era: int = 0
 
 
 class CallFrame(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -100,6 +103,8 @@
     #: Revision of the latest change of a directory entry that the sender has
     #: seen.
     entries_revision: int
+    #: Era of that revision, 0 if it is unknown.
+    entries_era: int = 0
 
 
 class Status(msgspec.Struct, array_like=True, tag=6, frozen=True):
@@ -112,6 +117,8 @@
     #: Id of the upstream that accepts calls, empty for none.
     upstream_id: str
     load: LoadFrame
+    #: Era of `entries_revision`, 0 if it is unknown.
+    entries_era: int = 0
 
 
 class ConfigurationRequest(msgspec.Struct, array_like=True, tag=7, frozen=True):
@@ -131,6 +138,8 @@
     after_revision: int
     #: Whether the receiver should catch up with the store before it answers.
     read_store: bool = False
+    #: Era of `after_revision`, 0 if it is unknown.
+    after_era: int = 0
 
 
 class EntryFrame(msgspec.Struct, array_like=True, frozen=True):
@@ -139,6 +148,8 @@
     key: str
     value: bytes
     revision: int
+    #: Era of the revision, 0 if it is unknown.
+    era: int = 0
 
 
 class EntriesFrame(msgspec.Struct, array_like=True, tag=10, frozen=True):
--- a/flamingolug/gateway/_link.py
+++ b/flamingolug/gateway/_link.py
@@ -108,17 +108,17 @@
     #: Handles the state of a peer's upstream: address of the peer, id of the
     #: upstream that accepts calls (empty for none), load.
     on_status: Callable[[tuple[str, int], str, _model.LoadReport], None]
-    #: Returns the revision of the latest change of a directory entry that this
+    #: Returns the position of the latest change of a directory entry that this
     #: node has seen.
-    entries_revision: Callable[[], int]
-    #: Handles the corresponding revision of a peer; returns whether this node
+    entries_position: Callable[[], store.Position]
+    #: Handles the corresponding position of a peer; returns whether this node
     #: should request the peer's newer entries.
-    on_entries_revision: Callable[[int], bool]
-    #: Returns the revision up to which this node has all ready entries.
-    complete_revision: Callable[[], int]
-    #: Returns the directory's entries after a revision, None while it has read
+    on_entries_position: Callable[[store.Position], bool]
+    #: Returns the position up to which this node has all ready entries.
+    complete_position: Callable[[], store.Position]
+    #: Returns the directory's entries after a position, None while it has read
     #: none.
-    entries: Callable[[int], _directory.KnownEntries | None]
+    entries: Callable[[store.Position], _directory.KnownEntries | None]
     #: Catches up with the store; returns whether it has answered.
     catch_up: Callable[[], bool]
     #: Handles directory entries from a peer: the entries, and the address of
@@ -420,9 +420,10 @@
             return
         if inactive_s > probe_after_s and now - self.probed_at > probe_after_s:
             self.probed_at = now
+            position = self._deps.entries_position()
             self._connection.send(
                 _frames.Ping(
-                    self._deps.version(), self._deps.entries_revision()
+                    self._deps.version(), position.revision, position.era
                 )
             )
 
@@ -470,15 +471,7 @@
             return
         self.inactive_since = self._deps.timers.now()
         self._connection = FrameConnection(stream, self.peer)
-        identity = self._deps.cfg.identity
-        self._connection.send(
-            _frames.Hello(
-                identity.name,
-                identity.zone,
-                self._deps.version(),
-                self._deps.entries_revision(),
-            )
-        )
+        self._connection.send(make_hello(self._deps))
         self._connected.set()
         try:
             for frames in self._connection.read():
@@ -507,6 +500,19 @@
         handle_shared_frame(connection, frame, self._deps, self.address)
 
 
+def make_hello(deps: Dependencies) -> _frames.Hello:
+    """Returns the first frame on a link."""
+    identity = deps.cfg.identity
+    position = deps.entries_position()
+    return _frames.Hello(
+        identity.name,
+        identity.zone,
+        deps.version(),
+        position.revision,
+        position.era,
+    )
+
+
 def handle_shared_frame(
     connection: FrameConnection,
     frame: _frames.Frame,
@@ -524,8 +530,12 @@
     if isinstance(frame, _frames.Hello | _frames.Ping | _frames.Status):
         if frame.version > deps.version():
             connection.send(_frames.ConfigurationRequest())
-        if deps.on_entries_revision(frame.entries_revision):
-            connection.send(_frames.EntriesRequest(deps.complete_revision()))
+        position = store.Position(frame.entries_era, frame.entries_revision)
+        if deps.on_entries_position(position):
+            after = deps.complete_position()
+            connection.send(
+                _frames.EntriesRequest(after.revision, after_era=after.era)
+            )
         return
     if isinstance(frame, _frames.ConfigurationRequest):
         document = deps.document()
@@ -576,7 +586,9 @@
     is_current: bool,
 ) -> None:
     """Sends the entries that this node has, if it knows of departures."""
-    known = deps.entries(request.after_revision)
+    known = deps.entries(
+        store.Position(request.after_era, request.after_revision)
+    )
     if known is None:
         return
     connection.send(
@@ -589,13 +601,16 @@
 
 
 def _to_entry_frame(item: store.Item) -> _frames.EntryFrame:
+    position = item.position
     return _frames.EntryFrame(
-        item.key, item.value or b"", item.position.revision
+        item.key, item.value or b"", position.revision, position.era
     )
 
 
 def _from_entry_frame(frame: _frames.EntryFrame) -> store.Item:
-    return store.Item(frame.key, frame.value, store.Position(0, frame.revision))
+    return store.Item(
+        frame.key, frame.value, store.Position(frame.era, frame.revision)
+    )
 
 
 def _to_outcome(
--- a/flamingolug/gateway/_peer_server.py
+++ b/flamingolug/gateway/_peer_server.py
@@ -58,15 +58,7 @@
             telemetry.event(_LOGGER, "link.not_opened", peer=name, error=exc)
             return
         connection = _link.FrameConnection(stream, name)
-        identity = self._deps.link_deps.cfg.identity
-        connection.send(
-            _frames.Hello(
-                identity.name,
-                identity.zone,
-                self._deps.link_deps.version(),
-                self._deps.link_deps.entries_revision(),
-            )
-        )
+        connection.send(_link.make_hello(self._deps.link_deps))
         tickets: dict[int, _slots.Ticket] = {}
         self._connections[connection] = tickets
         self._send_status(connection)
@@ -154,11 +146,13 @@
 
     def _status(self) -> _frames.Status:
         gate = self._deps.gate
+        position = self._deps.link_deps.entries_position()
         return _frames.Status(
             self._deps.link_deps.version(),
-            self._deps.link_deps.entries_revision(),
+            position.revision,
             gate.upstream_id,
             _link.load_to_frame(gate.load()),
+            position.era,
         )
 
     def _handle_frame(
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -156,9 +156,9 @@
         watcher.document,
         lambda document: watcher.activate_if_newer(document, "peer"),
         on_status,
-        lambda: directory().revision,
-        lambda revision: directory().record_peer_revision(revision),
-        lambda: directory().complete_revision,
+        lambda: directory().position,
+        lambda position: directory().record_peer_position(position),
+        lambda: directory().complete_position,
         lambda after: directory().entries(after),
         lambda: directory().catch_up(),
         lambda known, address: parts.get(
--- a/flamingolug/gateway/tests/test_directory.py
+++ b/flamingolug/gateway/tests/test_directory.py
@@ -17,6 +17,10 @@
 _CHECK_INTERVAL_S = 7.0
 
 
+def _at(revision: int, era: int = 1) -> store.Position:
+    return store.Position(era, revision)
+
+
 def _item(name: str, revision: int, host: str = "") -> store.Item:
     host = host or f"10.0.0.{ord(name[0])}"
     upstream = _model.Upstream(
@@ -51,6 +55,11 @@
         self.unavailable = False
         self.list_calls = 0
         self.check_calls = 0
+        self.era_checks = 0
+
+    def recheck_era(self) -> None:
+        """Counts the calls."""
+        self.era_checks += 1
 
     def list_prefix(self, prefix: str) -> store.Page:
         """Returns all entries, unless the store is unavailable."""
@@ -129,11 +138,11 @@
         self._start()
         self.store.items.append(_item("b", 9))
         self.store.as_of = 9
-        self.assertFalse(self.directory.record_peer_revision(9))
+        self.assertFalse(self.directory.record_peer_position(_at(9)))
         self.time_s += _directory.MAX_LAG_S
         # Another peer may lag too.
-        self.assertFalse(self.directory.record_peer_revision(7))
-        self.assertTrue(self.directory.record_peer_revision(9))
+        self.assertFalse(self.directory.record_peer_position(_at(7)))
+        self.assertTrue(self.directory.record_peer_position(_at(9)))
         gevent.sleep(0.01)
         self.assertEqual(self._names(), {"a", "b"})
 
@@ -144,15 +153,17 @@
         for revision in (0, 5, 7):
             for _ in range(4):
                 self.time_s += _directory.MAX_LAG_S
-                self.assertFalse(self.directory.record_peer_revision(revision))
+                self.assertFalse(
+                    self.directory.record_peer_position(_at(revision))
+                )
         self.assertEqual(self.store.list_calls, 1)
 
     def test_lag_starts_anew_after_the_node_has_caught_up(self) -> None:
         self._start()
-        self.directory.record_peer_revision(9)
+        self.directory.record_peer_position(_at(9))
         self._merge(_item("a", 9))
         self.time_s += _directory.MAX_LAG_S
-        self.assertFalse(self.directory.record_peer_revision(10))
+        self.assertFalse(self.directory.record_peer_position(_at(10)))
 
     def test_restarts_are_limited_while_the_store_is_unavailable(self) -> None:
         self._start()
@@ -160,7 +171,7 @@
         requests = 0
         for _ in range(200):
             self.time_s += 0.1
-            requests += self.directory.record_peer_revision(9)
+            requests += self.directory.record_peer_position(_at(9))
             gevent.sleep(0)
         self.assertEqual(self.store.list_calls, 2)
         self.assertLessEqual(requests, 4)
@@ -201,7 +212,7 @@
         self._start()
         self._merge(_item("old", 7), _item("new", 9))
         self.assertEqual(self._names(), {"a", "b", "new"})
-        self.assertEqual(self.directory.revision, 9)
+        self.assertEqual(self.directory.position, _at(9))
 
     def test_new_upstream_replaces_only_the_older_one_at_its_address(
         self,
@@ -230,7 +241,7 @@
         self.store.items = [_item("a", 5), _item("b", 9)]
         self.store.as_of = 9
         self._start()
-        known = self.directory.entries(5)
+        known = self.directory.entries(_at(5))
         assert known is not None
         self.assertEqual([item.position.revision for item in known.ready], [9])
 
@@ -288,6 +299,116 @@
         self.directory._restart()
         gevent.sleep(0.01)
 
+    # Guards against a copy of the store that brings back an upstream which has
+    # left.
+    def test_departure_outweighs_an_entry_of_the_copy(self) -> None:
+        self._restart_in_new_era([_item("b", 3), _item("a", 4)])
+        self.assertEqual(self._names(), {"b"})
+        self.assertEqual([each.id for each in self.unrecorded], ["a"])
+
+    # Guards against an entry that is ignored for good, since its revision is
+    # lower than the one that it had in a former era.
+    def test_entry_of_a_new_era_replaces_one_with_a_higher_revision(
+        self,
+    ) -> None:
+        for is_lapsed in (False, True):
+            with self.subTest(is_lapsed=is_lapsed):
+                self.setUp()
+                self.store.items = [_item("a", 10)]
+                self.store.as_of = 10
+                self._start()
+                self._begin_era([] if is_lapsed else [_item("a", 3)], 4)
+                # In use for as long as its node needs to write it again.
+                self.assertEqual(self._names(), {"a"})
+                (entry,) = self.directory.entries_by_zone("s").own_zone
+                self.assertTrue(self.directory.is_usable(entry))
+                changed = _item("a", 6, "10.0.9.9")
+                self.directory.apply(
+                    changed._replace(position=store.Position(2, 6))
+                )
+                self.time_s += 2 * _directory.LAPSE_GRACE_S
+                self.directory.remove_lapsed()
+                (entry,) = self.directory.entries_by_zone("s").own_zone
+                self.assertEqual(entry.upstream.host, "10.0.9.9")
+                self.assertIsNone(entry.lapsed_at)
+
+    def _begin_era(self, items: list[store.Item], as_of: int) -> None:
+        """Lists a copy of the store."""
+        self.store.era += 1
+        self.store.items = items
+        self.store.as_of = as_of
+        self.directory._restart()
+        gevent.sleep(0.01)
+
+    # Guards against a copy that brings back the former upstream of a node and
+    # removes the one that is there.
+    def test_predecessor_in_a_copy_does_not_replace_the_upstream(self) -> None:
+        self.store.items = [_item("b", 10, "10.0.1.1")]
+        self.store.as_of = 10
+        self._start()
+        self._begin_era([_item("a", 3, "10.0.1.1")], 4)
+        self.assertIn("b", self._names())
+        self.directory.apply(
+            _item("b", 6, "10.0.1.1")._replace(position=store.Position(2, 6))
+        )
+        self.assertEqual(self._names(), {"b"})
+
+    # Guards against a copy that brings back the former incarnation of an id,
+    # and against one that is ignored for good if it is in use after all.
+    def test_incarnation_in_a_copy_does_not_replace_the_later_one(self) -> None:
+        later = _item("a", 10)
+        upstream = _directory.decode_entry(later.key, later.value or b"")
+        assert upstream is not None
+        value = _directory.encode_entry(
+            upstream._replace(start_time_ms=9, slots=7)
+        )
+        self.store.items = [later._replace(value=value)]
+        self.store.as_of = 10
+        self._start()
+        self._begin_era([_item("a", 3)], 4)
+        (entry,) = self.directory.entries_by_zone("s").own_zone
+        self.assertEqual(entry.upstream.slots, 7)
+        self.assertTrue(self.directory.is_usable(entry))
+        self.time_s += _directory.LAPSE_GRACE_S
+        self.directory._look()
+        (entry,) = self.directory.entries_by_zone("s").own_zone
+        self.assertEqual(entry.upstream.slots, 10)
+        self.assertIsNone(entry.lapsed_at)
+
+    # Guards against a node that does not notice a drill, and against a peer
+    # whose word of an era is taken as final.
+    def test_later_era_that_a_peer_tells_is_checked_at_the_store(self) -> None:
+        self.store.as_of = 7
+        self._start()
+        for _ in range(3):
+            self.directory.record_peer_position(_at(3, era=2))
+        self.assertEqual(self.store.era_checks, 1)
+        self.time_s += _directory.MIN_RESTART_INTERVAL_S
+        self.directory.record_peer_position(_at(3, era=2))
+        self.assertEqual(self.store.era_checks, 2)
+        self._merge(
+            _item("a", 1)._replace(position=_at(4, era=9)),
+        )
+        self.assertEqual(self._names(), {"a"})
+        self.assertEqual(self.directory.position.era, 1)
+        self.directory.apply(_item("a", 8, "10.0.9.9"))
+        (entry,) = self.directory.entries_by_zone("s").own_zone
+        self.assertEqual(entry.upstream.host, "10.0.9.9")
+
+    # Guards against nodes that take a revision of an older version, which does
+    # not tell the era, for a later or an earlier one.
+    def test_position_without_an_era_says_nothing(self) -> None:
+        self.store.as_of = 7
+        self._start()
+        for _ in range(4):
+            self.time_s += _directory.MAX_LAG_S
+            told = self.directory.record_peer_position(_at(99, era=0))
+            self.assertFalse(told)
+        self._merge(_item("a", 1)._replace(position=_at(99, era=0)))
+        self.assertEqual(self._names(), set())
+        self.assertEqual(self.store.list_calls, 1)
+        self.assertEqual(self.store.era_checks, 0)
+
     # Guards against the record of an earlier incarnation, which would keep the
     # later one out.
     def test_departure_before_a_known_incarnation_needs_no_record(self) -> None:
@@ -304,16 +425,16 @@
 
     # Guards against two processes that confirm each other's ignorance.
     def test_only_an_informed_node_informs_others(self) -> None:
-        self.assertIsNone(self.directory.entries(0))
+        self.assertIsNone(self.directory.entries(store.NO_POSITION))
         known = _directory.KnownEntries([_item("b", 5)], [_departed("a", 1)])
         self.directory.merge_from_peer(known)
         self.assertEqual(self._names(), {"b"})
         # The store may have turned away that peer too.
         self.assertFalse(self.directory.informed.is_set())
-        self.assertIsNone(self.directory.entries(0))
+        self.assertIsNone(self.directory.entries(store.NO_POSITION))
         self.directory.merge_from_peer(known._replace(is_current=True))
         self.assertTrue(self.directory.informed.is_set())
-        told = self.directory.entries(0)
+        told = self.directory.entries(store.NO_POSITION)
         assert told is not None
         self.assertEqual(len(told.ready), 1)
         self.assertEqual(len(told.departed), 1)
@@ -329,7 +450,7 @@
         gone = _departed("a", 1)._replace(position=store.Position(1, 11))
         self.store.items.append(gone)
         self.assertTrue(self.directory.catch_up())
-        known = self.directory.entries(0)
+        known = self.directory.entries(store.NO_POSITION)
         assert known is not None
         self.assertEqual([each.key for each in known.departed], [gone.key])
         self.store.unavailable = True
--- a/flamingolug/platform/tests/test_drills.py
+++ b/flamingolug/platform/tests/test_drills.py
@@ -12,6 +12,7 @@
 
 from flamingolug import errors
 from flamingolug import store
+from flamingolug.gateway import _directory
 from flamingolug.platform import _store
 from flamingolug.platform.tests import deployment
 from flamingolug.platform.tests import processes
@@ -85,6 +86,71 @@
                 )
 
 
+class EntryTest(unittest.TestCase):
+    """The entry of an upstream that the copy of the store does not have."""
+
+    def setUp(self) -> None:
+        routes = [
+            documents.make_route("read", "front"),
+            documents.make_route("added", "late"),
+        ]
+        self.deployment = deployment.Deployment(("front", "desk"), routes)
+        self.addCleanup(self.deployment.stop)
+        kv = self.deployment.store
+        self.copy = kv.copy()
+        for number in range(6):
+            kv.put(f"op/notes{number}", b"")
+        self.late = processes.NodeProcess("late", self.deployment)
+        self.addCleanup(self.late.close)
+        for instance in self.deployment.instances:
+            instance.wait_for_upstreams(("late",))
+        self.numbers = itertools.count()
+
+    def statuses(self) -> set[int]:
+        """Returns the statuses of requests for the upstream, of each node."""
+        self.late.server.report()
+        return {
+            deployment.send_request(
+                instance, "added", f"added-{next(self.numbers)}"
+            ).status
+            for instance in self.deployment.instances
+        }
+
+    # Guards against an entry that other nodes ignore for good, because its
+    # revision is lower than the one that it had before.
+    def test_upstream_that_joined_before_a_drill_is_used_after_it(self) -> None:
+        kv = self.deployment.store
+        for _ in range(2):
+            self.late.kill()
+            kv.down = True
+            gevent.sleep(_AWAY_S)
+            kv.restore(self.copy)
+            kv.down = False
+            # The other nodes read the entries without this one.
+            gevent.sleep(1.5)
+            self.late.start()
+            self.late.server.report()
+            deployment.wait_until(
+                lambda: self.late.stored_entry() is not None, "announced"
+            )
+            gevent.sleep(2 * _directory.LAPSE_GRACE_S)
+            self.assertEqual(self.statuses(), {200})
+
+    # Guards against an upstream that counts as gone because the copy of the
+    # store does not have its entry.
+    def test_upstream_that_joined_before_a_drill_stays_in_use(self) -> None:
+        kv = self.deployment.store
+        for _ in range(2):
+            kv.down = True
+            gevent.sleep(_AWAY_S)
+            kv.restore(self.copy)
+            kv.down = False
+            ends_at = time.monotonic() + 2 * _directory.LAPSE_GRACE_S
+            while time.monotonic() < ends_at:
+                self.assertEqual(self.statuses(), {200})
+                gevent.sleep(0.1)
+
+
 class ClientTest(unittest.TestCase):
     """What the client of the store still does with a former era."""
 
