Teach the soak drills of the store

The store returns from a copy that is some seconds old, with or without an outage, once or twice; the operator writes the latest version again or a newer one. In a second kind of fault an upstream leaves before, its node is killed after, and a late report arrives.

--- a/flamingolug_bench/soak/_faults.py
+++ b/flamingolug_bench/soak/_faults.py
@@ -16,6 +16,7 @@
 
 from flamingolug import http1
 from flamingolug_bench.soak import _testbed
+from flamingolug_standins import leased_store
 from flamingolug_standins import relay_program
 
 #: Seconds without faults at the start, once all nodes serve requests.
@@ -50,6 +51,14 @@
 _MAX_START_S = 1.5
 #: Instances that a rolling restart stops at most.
 _MAX_ROLLED = 12
+#: Probabilities that a schedule with faults has a drill of the store, and that
+#: the store returns from the same copy a second time.
+_DRILL_RATIO, _SECOND_DRILL_RATIO = 0.7, 0.3
+#: Longest time for which the store is away in a drill, and longest time from
+#: its return until the operator writes again, seconds.
+_MAX_AWAY_S, _MAX_OPERATOR_DELAY_S = 1.5, 0.5
+#: Seconds after its start from which on a process must know of departures.
+_INFORMED_S = 3.0
 
 
 class ScheduledFault(NamedTuple):
@@ -332,6 +341,88 @@
     context.testbed.store.drop_history()
 
 
+def _drill_store(context: FaultContext) -> None:
+    """Has the store return from a copy that is some seconds old."""
+    copy = context.testbed.store.copy()
+    gevent.sleep(context.duration_s)
+    _return_from_copy(context, copy)
+
+
+def _return_from_copy(context: FaultContext, copy: leased_store.Copy) -> None:
+    """Has the store return from a copy, with or without an outage.
+
+    The operator then writes the latest version again, or a newer one.
+    """
+    kv, rng = context.testbed.store, context.rng
+    rounds = 2 if rng.random() < _SECOND_DRILL_RATIO else 1
+    for _ in range(rounds):
+        kv.down = rng.random() < 0.7
+        if kv.down:
+            gevent.sleep(rng.uniform(0.1, _MAX_AWAY_S))
+        kv.restore(copy)
+        kv.down = False
+        if rng.random() < 0.5:
+            gevent.sleep(rng.uniform(0.0, _MAX_OPERATOR_DELAY_S))
+        if rng.random() < 0.5:
+            _publish_configuration(context)
+        else:
+            context.testbed.restore_configuration()
+
+
+def _drill_after_departure(context: FaultContext) -> None:
+    """Has the store lose a departure, and restarts the node after that.
+
+    A report of the upstream arrives late, at a process that must know of the
+    departure.
+    """
+    instance, upstream = context.instance, context.instance.upstream
+    copy = context.testbed.store.copy()
+    upstream.sequence += 1
+    late_report = upstream.make_report("ready")
+    if not _leave(context):
+        return
+    started_at = time.monotonic()
+    gevent.sleep(context.rng.uniform(0.0, context.duration_s))
+    _return_from_copy(context, copy)
+    context.run_log.intervals.append(
+        FaultInterval(
+            "store-drill", ALL_INSTANCES, started_at, time.monotonic(), False
+        )
+    )
+    gevent.sleep(context.rng.uniform(0.0, context.duration_s))
+    start_count = instance.start_count
+    instance.signal_node(signal.SIGKILL)
+    deadline = time.monotonic() + _testbed.GRACE_S
+    while instance.start_count == start_count or not _wait_until_running(
+        instance
+    ):
+        if time.monotonic() > deadline:
+            return
+        gevent.sleep(0.02)
+    gevent.sleep(_INFORMED_S)
+    if upstream is instance.upstream:
+        upstream.post("heartbeat", late_report)
+        gevent.sleep(1.0)
+    if upstream is instance.upstream:
+        _replace_upstream(instance)
+
+
+def _leave(context: FaultContext) -> bool:
+    """Has the upstream deregister; returns whether that is acknowledged."""
+    upstream = context.instance.upstream
+    if upstream.deregister() != 200:
+        return False
+    context.run_log.departures.append(
+        Departure(
+            upstream.id,
+            time.monotonic(),
+            context.instance.start_count,
+            deregistered=True,
+        )
+    )
+    return True
+
+
 def _expire_all_leases(context: FaultContext) -> None:
     """Ends all leases while the store is unavailable."""
     context.testbed.store.down = True
@@ -367,17 +458,14 @@
 
     def inject(context: FaultContext) -> None:
         upstream = context.instance.upstream
-        if first_action == "draining":
-            status = upstream.report("draining")
-        else:
-            status = upstream.deregister()
-        if status == 200:
+        if first_action == "leave":
+            _leave(context)
+        elif upstream.report("draining") == 200:
             context.run_log.departures.append(
                 Departure(
                     upstream.id,
                     time.monotonic(),
                     context.instance.start_count,
-                    deregistered=first_action == "leave",
                 )
             )
         gevent.sleep(_testbed.DRAIN_S + 0.5)
@@ -400,6 +488,8 @@
     affects_all: bool = False
     #: Whether it consists of several operations.
     series: bool = False
+    #: Whether the store returns from a copy.
+    drill: bool = False
 
 
 _RelayFault = relay_program.Fault
@@ -433,6 +523,8 @@
         _store_attribute_injector("delay_s", 0.3), affects_all=True
     ),
     "store-forgets": FaultType(_drop_store_history, affects_all=True),
+    "store-drill": FaultType(_drill_store, affects_all=True, drill=True),
+    "departure-drill": FaultType(_drill_after_departure, drill=True),
     "store-lapses": FaultType(_expire_all_leases, affects_all=True),
     "store-cut": FaultType(
         _relay_fault_injector("store", _RelayFault(cut=True))
@@ -527,7 +619,9 @@
         return _make_planned_schedule(seed, duration_s, instance_count)
     rng = random.Random(seed)
     single_types = sorted(
-        name for name, each in FAULT_TYPES.items() if not each.series
+        name
+        for name, each in FAULT_TYPES.items()
+        if not (each.series or each.drill)
     )
     schedule: list[ScheduledFault] = []
     start_s = WARMUP_S
@@ -563,6 +657,14 @@
         schedule.append(
             _schedule_one(series_rng, start_s, fault_type, instance_count)
         )
+    # Drills have one too, for the same reason.
+    drill_rng = random.Random(f"{seed}/drill")
+    if drill_rng.random() < _DRILL_RATIO:
+        for fault_type in ("store-drill", "departure-drill"):
+            start_s = drill_rng.uniform(WARMUP_S, max(duration_s, WARMUP_S))
+            schedule.append(
+                _schedule_one(drill_rng, start_s, fault_type, instance_count)
+            )
     return sorted(schedule)
 
 
--- a/flamingolug_bench/soak/_testbed.py
+++ b/flamingolug_bench/soak/_testbed.py
@@ -368,6 +368,10 @@
     def publish_configuration(self) -> None:
         """Stores a new version, which has a route named after the version."""
         self.version += 1
+        self.restore_configuration()
+
+    def restore_configuration(self) -> None:
+        """Stores the latest version, again if the store has lost it."""
         self.store.put("op/config", _make_configuration(self.version))
 
     def stop(self) -> None:
--- a/flamingolug_bench/soak/variants.py
+++ b/flamingolug_bench/soak/variants.py
@@ -13,6 +13,7 @@
 
 from flamingolug import gateway
 from flamingolug import http1
+from flamingolug.gateway import _announcer
 from flamingolug.gateway import _configuration_watcher
 from flamingolug.gateway import _entry
 from flamingolug.gateway import _frames
@@ -21,10 +22,12 @@
 from flamingolug.gateway import _model
 from flamingolug.gateway import _pool
 from flamingolug.gateway import _program
+from flamingolug.gateway import _record_keeper
 from flamingolug.gateway import _request
 from flamingolug.gateway import _request_state
 from flamingolug.gateway import _routes
 from flamingolug.platform import __main__ as node_program
+from flamingolug.platform import _store
 
 _ATTEMPT_ID_HEADER = re.compile(rb"\r\nx-attempt-id: ([^\r]*)\r\n")
 
@@ -175,6 +178,35 @@
     setattr(_request.Handler, "handle", handle)
 
 
+def _ignore_eras() -> None:
+    """Takes revisions and leases of the store as ever rising."""
+
+    def note_era(
+        self: _store.PlatformStore,
+        response: http1.Response,
+        step: str,
+        peer: str,
+    ) -> None:
+        del self, response, step, peer
+
+    setattr(_store.PlatformStore, "_note_era", note_era)
+
+
+def _forget_departures() -> None:
+    """Does not write departures again that the store has lost."""
+
+    def forget(self: _announcer.Announcer) -> None:
+        del self
+
+    def restore(
+        self: _record_keeper.RecordKeeper, departed: _model.Upstream
+    ) -> None:
+        del self, departed
+
+    setattr(_announcer.Announcer, "handle_new_era", forget)
+    setattr(_record_keeper.RecordKeeper, "restore", restore)
+
+
 VARIANTS: dict[str, Callable[[], None]] = {
     "retry-unknown": _retry_unknown_outcomes,
     "ignore-drain": _ignore_leaving_upstreams,
@@ -184,6 +216,8 @@
     "stop-at-once": _stop_at_once,
     "exit-unsent": _exit_with_unsent_answers,
     "stop-fails": _fail_running_requests,
+    "ignore-eras": _ignore_eras,
+    "forget-departures": _forget_departures,
 }
 
 
