Keep the hashing of turns apart from the policies of the demo

A node imported the package of the demo's policies for one function, and with it the manifest, its schema and YAML: 504 modules in place of 416, and 4.8 MB more (measured after the imports).

--- a/flamingolug/gateway/_record_keeper.py
+++ b/flamingolug/gateway/_record_keeper.py
@@ -13,7 +13,7 @@
 import gevent
 
 from flamingolug import errors
-from flamingolug import policy
+from flamingolug import rendezvous
 from flamingolug import telemetry
 from flamingolug import timing
 from flamingolug.gateway import _backoff
@@ -58,7 +58,7 @@
         own: the node.
         nodes: all nodes that are known.
     """
-    order = policy.candidates_for(key, {own, *nodes})
+    order = rendezvous.candidates_for(key, {own, *nodes})
     return FIRST_TURN_S + TURN_INTERVAL_S * min(order.index(own), MAX_TURNS)
 
 
--- a/flamingolug/policy/__init__.py
+++ b/flamingolug/policy/__init__.py
@@ -12,8 +12,6 @@
 from flamingolug.policy._limit import initial_limit
 from flamingolug.policy._limit import LimitState
 from flamingolug.policy._limit import next_limit
-from flamingolug.policy._ownership import candidates_for
-from flamingolug.policy._ownership import owner_of
 from flamingolug.policy._retry import decide_retry
 from flamingolug.policy._retry import RetryContext
 from flamingolug.policy._retry import RetryDecision
@@ -22,6 +20,7 @@
 from flamingolug.policy._routing import choose_upstream
 from flamingolug.policy._wait import predict_wait_s
 from flamingolug.policy._wait import queue_capacity
+from flamingolug.rendezvous import owner_of
 
 __all__ = [
     "CUTOFF_WINDOW_S",
@@ -36,7 +35,6 @@
     "RetryDecision",
     "allowance_for_attempt",
     "allowance_for_child_call",
-    "candidates_for",
     "choose_upstream",
     "decide_retry",
     "initial_limit",
--- a/flamingolug/policy/_ownership.py
+++ b/flamingolug/rendezvous.py
@@ -3,6 +3,8 @@
 import hashlib
 from collections.abc import Iterable
 
+__all__ = ["candidates_for", "owner_of"]
+
 
 def _weight(key: str, name: str) -> tuple[bytes, str]:
     digest = hashlib.blake2b(f"{name}\n{key}".encode(), digest_size=8).digest()
