Give each node a turn of its own for a lost record

Found by reading: from the sixth node on, all nodes of a large fleet wrote a lost record at the same moment if the first five did not reach the store. And the first list of a process counted as a new era, so that a departure which it had heard from a peer was written again although its record had ended with its lease.

Tests: test_each_node_has_a_turn_of_its_own failed before with 194 nodes.

--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -719,7 +719,9 @@
     def _list(self) -> store.Position:
         """Lists all entries and returns the position to watch from."""
         page = self._deps.store.list_prefix(PREFIX)
-        is_new_era = page.as_of.era != self._covered.era
+        # The first list of a process ends no era that it knows.
+        is_known = self._covered != store.NO_POSITION
+        is_new_era = is_known and page.as_of.era != self._covered.era
         present = {item.key for item in page.items}
         if is_new_era:
             self._keep_departures(present)
@@ -732,7 +734,7 @@
         for key in list(self._entries):
             if key not in present:
                 self._handle_removal(key)
-        if is_new_era and self._covered != store.NO_POSITION:
+        if is_new_era:
             self._era_met_at = self._deps.timers.now()
             self._log_era(page)
         self._covered = self._peer_position = page.as_of
--- a/flamingolug/gateway/_record_keeper.py
+++ b/flamingolug/gateway/_record_keeper.py
@@ -28,9 +28,10 @@
 FIRST_TURN_S = 0.2
 #: Seconds from the turn of one node to that of the next.
 TURN_INTERVAL_S = 0.25
-#: Turns after which all further nodes write, so that a record is back in time
-#: even if the first nodes can't reach the store.
-MAX_TURNS = 5
+#: Turns with that interval, and seconds between the turns of all further nodes,
+#: which are due only if the first ones can't reach the store.
+LONG_TURNS = 5
+LATE_TURN_INTERVAL_S = 0.02
 
 
 class Dependencies(NamedTuple):
@@ -59,7 +60,14 @@
         nodes: all nodes that are known.
     """
     order = rendezvous.candidates_for(key, {own, *nodes})
-    return FIRST_TURN_S + TURN_INTERVAL_S * min(order.index(own), MAX_TURNS)
+    before = order.index(own)
+    long_turns = min(before, LONG_TURNS)
+    late_turns = before - long_turns
+    return (
+        FIRST_TURN_S
+        + TURN_INTERVAL_S * long_turns
+        + LATE_TURN_INTERVAL_S * late_turns
+    )
 
 
 class RecordKeeper:
--- a/flamingolug/gateway/tests/test_record_keeper.py
+++ b/flamingolug/gateway/tests/test_record_keeper.py
@@ -27,13 +27,15 @@
 
 class TurnTest(unittest.TestCase):
     # Guards against a herd: each node knows the departure.
-    def test_each_of_the_first_nodes_has_a_turn_of_its_own(self) -> None:
+    def test_each_node_has_a_turn_of_its_own(self) -> None:
         nodes = [f"10.0.0.{number}:1" for number in range(194)]
         turns = sorted(
             _record_keeper.turn_s("u1", each, nodes) for each in nodes
         )
-        first = turns[: _record_keeper.MAX_TURNS]
-        self.assertEqual(len(set(first)), _record_keeper.MAX_TURNS)
+        self.assertEqual(len(set(turns)), len(nodes))
+        # The first turns leave time for a watch to return the record.
+        gap_s = turns[1] - turns[0]
+        self.assertAlmostEqual(gap_s, _record_keeper.TURN_INTERVAL_S)
 
     def test_different_departures_are_written_by_different_nodes(self) -> None:
         nodes = [f"10.0.0.{number}:1" for number in range(20)]
