--- a/flamingolug/platform/tests/processes.py
+++ b/flamingolug/platform/tests/processes.py
@@ -1,5 +1,6 @@
 """Nodes in processes of their own, and connections of callers to them."""
 
+import itertools
 import os
 import pathlib
 import signal
@@ -7,6 +8,7 @@
 import sys
 import tempfile
 import time
+import unittest
 
 import gevent
 from gevent import socket as gevent_socket
@@ -181,6 +183,42 @@
         return ask_once(self.outbound, target, request_id) == 200
 
 
+class ConfigurationTestCase(unittest.TestCase):
+    """A node process whose routes show which configuration is in force."""
+
+    def setUp(self) -> None:
+        self.deployment = deployment.Deployment(
+            ("shelf",), [documents.make_route("read", "front")]
+        )
+        self.addCleanup(self.deployment.stop)
+        self.front = NodeProcess("front", self.deployment)
+        self.addCleanup(self.front.close)
+        self.numbers = itertools.count()
+
+    def put(self, version: int, route: str) -> None:
+        """Stores a version with one route."""
+        self.deployment.store.put(
+            "op/config",
+            documents.make_document(
+                version, [documents.make_route(route, "front")]
+            ),
+        )
+
+    def serves(self, route: str) -> bool:
+        """Returns whether the node serves a route."""
+        # A server that has not reported for a while gets no calls.
+        self.front.server.report()
+        request_id = f"{route}-{next(self.numbers)}"
+        target = f"/{route}/x".encode()
+        return ask_once(self.front.outbound, target, request_id) == 200
+
+    def assert_served_within(self, route: str, limit_s: float) -> None:
+        """Asserts that the node serves a route before a limit, seconds."""
+        began_at = time.monotonic()
+        deployment.wait_until(lambda: self.serves(route), f"{route} is served")
+        self.assertLess(time.monotonic() - began_at, limit_s)
+
+
 class Caller:
     """One connection of a caller; records what the socket delivers.
 
--- a/flamingolug/platform/tests/test_drills.py
+++ b/flamingolug/platform/tests/test_drills.py
@@ -29,39 +29,9 @@
 _AWAY_S = 0.5
 
 
-class ConfigurationTest(unittest.TestCase):
+class ConfigurationTest(processes.ConfigurationTestCase):
     """The watch of the configuration by a node process."""
 
-    def setUp(self) -> None:
-        self.deployment = deployment.Deployment(
-            ("shelf",), [documents.make_route("read", "front")]
-        )
-        self.addCleanup(self.deployment.stop)
-        self.front = processes.NodeProcess("front", self.deployment)
-        self.addCleanup(self.front.close)
-        self.numbers = itertools.count()
-
-    def put(self, version: int, route: str) -> None:
-        self.deployment.store.put(
-            "op/config",
-            documents.make_document(
-                version, [documents.make_route(route, "front")]
-            ),
-        )
-
-    def serves(self, route: str) -> bool:
-        # A server that has not reported for a while gets no calls.
-        self.front.server.report()
-        request_id = f"{route}-{next(self.numbers)}"
-        target = f"/{route}/x".encode()
-        status = processes.ask_once(self.front.outbound, target, request_id)
-        return status == 200
-
-    def assert_served_within(self, route: str, limit_s: float) -> None:
-        began_at = time.monotonic()
-        deployment.wait_until(lambda: self.serves(route), f"{route} is served")
-        self.assertLess(time.monotonic() - began_at, limit_s)
-
     # Guards against a watch from a revision that was given out again, which
     # waits for a later one while the version is never in force.
     def test_version_stored_right_after_a_drill_is_in_force(self) -> None:
--- a/flamingolug/platform/tests/test_lost_responses.py
+++ b/flamingolug/platform/tests/test_lost_responses.py
@@ -1,6 +1,5 @@
 """Changes that a node learns of although a response of the store was lost."""
 
-import itertools
 import time
 import unittest
 
@@ -23,39 +22,9 @@
 _TOUCH_S = 3.0
 
 
-class ConfigurationTest(unittest.TestCase):
+class ConfigurationTest(processes.ConfigurationTestCase):
     """The watch of a node process, and a store that loses its responses."""
 
-    def setUp(self) -> None:
-        self.deployment = deployment.Deployment(
-            ("shelf",), [documents.make_route("read", "front")]
-        )
-        self.addCleanup(self.deployment.stop)
-        self.front = processes.NodeProcess("front", self.deployment)
-        self.addCleanup(self.front.close)
-        self.numbers = itertools.count()
-
-    def put(self, version: int, route: str) -> None:
-        self.deployment.store.put(
-            "op/config",
-            documents.make_document(
-                version, [documents.make_route(route, "front")]
-            ),
-        )
-
-    def serves(self, route: str) -> bool:
-        # A server that has not reported for a while gets no calls.
-        self.front.server.report()
-        request_id = f"{route}-{next(self.numbers)}"
-        target = f"/{route}/x".encode()
-        status = processes.ask_once(self.front.outbound, target, request_id)
-        return status == 200
-
-    def assert_served_within(self, route: str, limit_s: float) -> None:
-        began_at = time.monotonic()
-        deployment.wait_until(lambda: self.serves(route), f"{route} is served")
-        self.assertLess(time.monotonic() - began_at, limit_s)
-
     # Guards against a watch that waits on a connection that returns nothing.
     def test_version_is_applied_after_the_response_to_the_watch_was_lost(
         self,
