--- a/flamingolug_bench/soak/tests/test_soak.py
+++ b/flamingolug_bench/soak/tests/test_soak.py
@@ -16,6 +16,8 @@
 
 #: Seed and duration in seconds of the short run.
 _SEED, _DURATION_S = 11, 6.0
+#: Seed and duration of a short run in which the store returns from copies.
+_DRILL_SEED, _DRILL_DURATION_S = 5, 3.0
 #: Seed of a short run with planned operations only.
 _PLANNED_SEED, _PLANNED_DURATION_S = 3, 10.0
 #: Duration of a run of nodes with a known defect, seconds.
@@ -367,6 +369,18 @@
         self.assertEqual(results["promises"], "-")
         self.assertNotEqual(results["requests"], 0)
 
+    # Guards against departures, entries and configurations that are lost with
+    # what the copy of the store does not have.
+    def test_short_run_with_drills_violates_no_invariant(self) -> None:
+        schedule = _faults.make_schedule(_DRILL_SEED, _DRILL_DURATION_S, 6)
+        types = {each.fault_type for each in schedule}
+        self.assertLessEqual({"store-drill", "departure-drill"}, types)
+        results = soak.run(
+            _DRILL_SEED, soak.SoakOptions(_DRILL_DURATION_S), quiet=True
+        )
+        self.assertEqual(results["promises"], "-")
+        self.assertNotEqual(results["requests"], 0)
+
     # Guards against accepted requests that end without an answer around
     # overlapping stops, restarts, signals and configurations (LOST).
     def test_short_run_of_planned_operations_loses_no_request(self) -> None:
