Keep the next upstream of a node when a former one's record is written late

Cause, by the logs: the store had lost the record of the upstream before last of a node; another node wrote it again after the present upstream had been announced. Directories took the record for a later upstream of that node and deleted the present one. A record that a node writes for a peer can come late in the same way. Ruled out: the announcement (in the store), and the grace of a lapsed entry (it was not lapsed).

Change: only the entry of an upstream in use removes its predecessors.

Tests: test_late_record_does_not_remove_the_next_upstream_of_a_node failed before. The departure drill of the soak replaces its upstream also if the node starts late.

--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -558,7 +558,8 @@
         if entry is not None:
             # The upstream may have a new address.
             self._delete(item.key)
-        self._delete_predecessors(upstream, item.position)
+        if upstream.state is _model.UpstreamState.READY:
+            self._delete_predecessors(upstream, item.position)
         is_recorded = stored.state is not _model.UpstreamState.READY
         self._entries[item.key] = DirectoryEntry(
             upstream, item.position, is_recorded
@@ -600,6 +601,8 @@
     ) -> None:
         """Deletes older entries of the same node, which has one upstream.
 
+        Only for an upstream in use: the record of a departure may be written
+        after the next upstream has been announced.
         Which of two eras is older does not show which upstream is: a copy of
         the store brings a predecessor back.
         """
--- a/flamingolug/gateway/tests/test_directory.py
+++ b/flamingolug/gateway/tests/test_directory.py
@@ -340,6 +340,24 @@
         self.directory._restart()
         gevent.sleep(0.01)
 
+    # Guards against the record of a former upstream that is written again after
+    # the next one was announced, and that removes it from the directories.
+    def test_late_record_does_not_remove_the_next_upstream_of_a_node(
+        self,
+    ) -> None:
+        self._start()
+        self.directory.apply(_item("b", 20, "10.0.1.1"))
+        upstream = _directory.decode_entry(
+            _directory.PREFIX + "a", _item("a", 0, "10.0.1.1").value or b""
+        )
+        assert upstream is not None
+        gone = upstream._replace(state=_model.UpstreamState.GONE)
+        record = _directory.encode_entry(gone)
+        self.directory.apply(
+            store.Item(_directory.PREFIX + "a", record, _at(21))
+        )
+        self.assertEqual(self._names(), {"b"})
+
     # Guards against a copy that brings back the former upstream of a node and
     # removes the one that is there.
     def test_predecessor_in_a_copy_does_not_replace_the_upstream(self) -> None:
--- a/flamingolug_bench/soak/_faults.py
+++ b/flamingolug_bench/soak/_faults.py
@@ -393,11 +393,10 @@
     start_count = instance.start_count
     instance.signal_node(signal.SIGKILL)
     deadline = time.monotonic() + _testbed.GRACE_S
-    while instance.start_count == start_count or not _wait_until_running(
-        instance
-    ):
-        if time.monotonic() > deadline:
-            return
+    while time.monotonic() < deadline:
+        is_next = instance.start_count > start_count
+        if is_next and _wait_until_running(instance):
+            break
         gevent.sleep(0.02)
     gevent.sleep(_INFORMED_S)
     if upstream is instance.upstream:
