Bind a leave notice to the incarnation that is known

Cause, by the logs: the node had just started and could not read the store. A report waited for the entries, the leave notice came behind it and was recorded with the time of the notice as the start of the incarnation, and the start in the report was later: the clock had been set back since. The report was then accepted as one of the next incarnation.

Change: a notice without an accepted report takes the start from the report that waits, or from the entry that is known.

Test: test_leave_ends_a_report_that_waits_for_the_entries failed before (200 in place of 503) and passes. A notice at a process that knows neither still takes the clock.

--- a/flamingolug/gateway/_control_server.py
+++ b/flamingolug/gateway/_control_server.py
@@ -64,6 +64,8 @@
         self._deps = deps
         #: Number of reports and leave notices in progress.
         self._pending = 0
+        #: Latest report that came before the node knew the entries.
+        self._unverified: _model.Report | None = None
 
     @property
     def busy(self) -> bool:
@@ -111,7 +113,9 @@
         deps = self._deps
         leaving_id = deps.decoder.leave(req)
         if leaving_id is not None:
-            deps.gate.handle_leave(leaving_id)
+            deps.gate.handle_leave(
+                leaving_id, self._known_start_time_ms(leaving_id)
+            )
             return self._acknowledge_departure(leaving_id)
         report = deps.decoder.report(req, deps.cfg.identity.service)
         if report is None:
@@ -123,6 +127,7 @@
             )
             return 400
         if not self._wait_until_verifiable(report):
+            self._unverified = report
             gevent.spawn(self._accept_when_informed, report)
             telemetry.event(
                 _LOGGER,
@@ -134,6 +139,18 @@
             return 503
         return self._accept(report)
 
+    def _known_start_time_ms(self, upstream_id: str) -> int | None:
+        """Returns the start of an upstream without an accepted report.
+
+        The clock of the instance may have been set back since, so the time of
+        its leave notice may be before its start.
+        """
+        report = self._unverified
+        if report is not None and report.id == upstream_id:
+            return report.start_time_ms
+        announced = self._deps.directory.find(upstream_id)
+        return None if announced is None else announced.start_time_ms
+
     def _is_first(self, report: _model.Report) -> bool:
         """Returns whether a report is of another upstream than the one in use.
 
--- a/flamingolug/gateway/_gate.py
+++ b/flamingolug/gateway/_gate.py
@@ -234,18 +234,28 @@
         # An incarnation that is leaving does not become ready again.
         return _STATE_ORDER[report.state] < _STATE_ORDER[previous.state]
 
-    def handle_leave(self, upstream_id: str) -> bool:
-        """Records that an upstream leaves; returns whether that is a change."""
+    def handle_leave(
+        self, upstream_id: str, start_time_ms: int | None = None
+    ) -> bool:
+        """Records that an upstream leaves; returns whether that is a change.
+
+        Args:
+            upstream_id: id in the leave notice.
+            start_time_ms: start of the incarnation that is known of it if no
+                report was accepted; None if none is known.
+        """
         previous = self.report
         if previous is None:
-            # Nothing is known of it but that it leaves.
+            if start_time_ms is None:
+                start_time_ms = int(self._deps.timers.unix_time() * 1000)
+            # Nothing else is known of it but that it leaves.
             previous = _model.Report(
                 upstream_id,
                 self._deps.cfg.identity.service,
                 slots=1,
                 state=_model.UpstreamState.DRAINING,
                 warmup_s=0.0,
-                start_time_ms=int(self._deps.timers.unix_time() * 1000),
+                start_time_ms=start_time_ms,
                 sequence=0,
             )
         if previous.id != upstream_id:
--- a/flamingolug/platform/tests/test_departures.py
+++ b/flamingolug/platform/tests/test_departures.py
@@ -200,6 +200,28 @@
                 nodes.store.down = False
                 front.kill()
 
+    # Guards against a report that waits for the entries, and is accepted after
+    # the leave notice that came behind it. The clock has been set back since
+    # the start of the server, so the notice seems to come before that.
+    def test_leave_ends_a_report_that_waits_for_the_entries(self) -> None:
+        front, kv = self.front, self.deployment.store
+        front.kill()
+        front.server.start_time_ms += 60_000
+        kv.turned_away.add(front.store_address)
+        front.start_without_configuration()
+        self.assertEqual(front.server.report("ready"), 503)
+        front.server.deregister()
+        kv.turned_away.clear()
+        front.wait_ready()
+        deployment.wait_until(
+            lambda: front.server.deregister() == 200, "acknowledged"
+        )
+        # Behind the interval in which the report may still be accepted.
+        gevent.sleep(2.0)
+        self.assertEqual(
+            processes.ask_once(front.outbound, b"/read/x", "late", 500), 503
+        )
+
     # Guards against a process that takes itself for informed by one peer, which
     # the store has turned away since before the departure.
     def test_process_does_not_rely_on_a_peer_that_the_store_turns_away(
--- a/flamingolug_bench/soak/variants.py
+++ b/flamingolug_bench/soak/variants.py
@@ -56,8 +56,10 @@
             self, report._replace(state=gateway.UpstreamState.READY)
         )
 
-    def handle_leave(self: _gate.Gate, upstream_id: str) -> bool:
-        del self, upstream_id
+    def handle_leave(
+        self: _gate.Gate, upstream_id: str, start_time_ms: int | None = None
+    ) -> bool:
+        del self, upstream_id, start_time_ms
         return False
 
     setattr(_gate.Gate, "handle_report", handle_report)
