Write lost records at once in a node that is stopping

The store lost the record in a drill while all nodes were stopped or killed in turn. The last one that knew of the departure met the new era 0.15 s before its end, and its turn would have come after 0.2 s or more.

Change: a stopping node does not wait for its turn, and stays until the records that it is to restore are written, at most until its deadline.

Test: test_stopping_node_does_not_wait_for_its_turn failed before.

--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -289,6 +289,7 @@
 def _build_record_keeper(parts: kernel.Kernel) -> object:
     directory = parts.get("gateway.directory", _directory.Directory)
     announcer = parts.get("gateway.announcer", _announcer.Announcer)
+    gate = parts.get("gateway.gate", _gate.Gate)
     return _record_keeper.RecordKeeper(
         _record_keeper.Dependencies(
             _settings(parts).link,
@@ -300,6 +301,7 @@
             directory.node_addresses,
             directory.needs_record,
             announcer.announces_departure_of,
+            lambda: gate.stopping,
         )
     )
 
--- a/flamingolug/gateway/_program.py
+++ b/flamingolug/gateway/_program.py
@@ -23,6 +23,7 @@
 from flamingolug.gateway import _link
 from flamingolug.gateway import _peer_server
 from flamingolug.gateway import _plugins
+from flamingolug.gateway import _record_keeper
 from flamingolug.gateway import _request
 from flamingolug.gateway._environment import Environment
 
@@ -216,6 +217,7 @@
     announcer = parts.get("gateway.announcer", _announcer.Announcer)
     announcer.withdraw()
     control_server = parts.get("gateway.service", _control_server.ControlServer)
+    keeper = parts.get("gateway.record-keeper", _record_keeper.RecordKeeper)
     deadline = started_at + grace_s - STOP_MARGIN_S
     refused_after = "-"
     gevent.sleep(min(ACCEPT_AFTER_STOP_S, deadline - started_at))
@@ -233,7 +235,9 @@
             # The entry may not know the connection accepted last yet.
             continue
         entry.finish_idle()
-        if announcer.has_unwritten_departure or control_server.busy:
+        if announcer.has_unwritten_departure or keeper.busy:
+            continue
+        if control_server.busy:
             continue
         if not (entry.has_work or peer_server.has_output):
             break
--- a/flamingolug/gateway/_record_keeper.py
+++ b/flamingolug/gateway/_record_keeper.py
@@ -49,6 +49,8 @@
     #: Returns whether this node's own upstream has departed with an id, so that
     #: its announcer writes the record.
     is_own: Callable[[str], bool]
+    #: Returns whether the node is stopping.
+    stopping: Callable[[], bool]
 
 
 def turn_s(key: str, own: str, nodes: list[str]) -> float:
@@ -79,8 +81,16 @@
         #: Ids of the upstreams whose records are being restored.
         self._pending: set[str] = set()
 
+    @property
+    def busy(self) -> bool:
+        """Whether any record is still to be written."""
+        return bool(self._pending)
+
     def restore(self, departed: _model.Upstream) -> None:
-        """Writes a record in the turn of this node, unless another does."""
+        """Writes a record in the turn of this node, unless another does.
+
+        A node that is stopping does not wait for its turn.
+        """
         if departed.id in self._pending:
             return
         self._pending.add(departed.id)
@@ -89,7 +99,9 @@
     def _restore(self, departed: _model.Upstream) -> None:
         deps = self._deps
         nodes = [_node_name(address) for address in deps.nodes()]
-        delay_s = turn_s(departed.id, _node_name(deps.link), nodes)
+        delay_s = 0.0
+        if not deps.stopping():
+            delay_s = turn_s(departed.id, _node_name(deps.link), nodes)
         ends_at = deps.timers.now() + _departures.DEPARTURE_TTL_S
         backoff = _backoff.Backoff("departures")
         try:
--- a/flamingolug/gateway/tests/test_record_keeper.py
+++ b/flamingolug/gateway/tests/test_record_keeper.py
@@ -49,6 +49,7 @@
 class KeeperTest(unittest.TestCase):
     def setUp(self) -> None:
         self.is_own = False
+        self.is_stopping = False
         self.needs_record = True
         self.written: list[_model.Upstream] = []
         self.failures = 0
@@ -75,6 +76,7 @@
                 lambda: [("h", 1)],
                 lambda departed: self.needs_record,
                 lambda upstream_id: self.is_own,
+                lambda: self.is_stopping,
             )
         )
 
@@ -98,6 +100,14 @@
         self.restore()
         self.assertEqual(self.written, [])
 
+    # Guards against a node that ends before its turn, and is the last one that
+    # knows of a departure.
+    def test_stopping_node_does_not_wait_for_its_turn(self) -> None:
+        self.is_stopping = True
+        with mock.patch.object(_record_keeper, "FIRST_TURN_S", 9.0):
+            self.restore(0.01)
+        self.assertEqual(self.written, [_GONE])
+
     def test_announcer_writes_the_record_of_the_own_upstream(self) -> None:
         self.is_own = True
         self.restore()
