Ask two near nodes for what a store just back from a copy may lack

What callers saw in a test: a process that started after a drill acted by the older version of the copy for good (until the operator wrote again), while the other nodes had the later one in force. It had no link.

Cause: a process takes what the store says for the latest, though the fleet may know more. Departures were told by the record alone, which comes back within two seconds.

Change: a process that has read the entries for the first time opens a link to two nodes, of its own availability zone if possible. They tell the version of their configuration, and the departures that they know. That costs no call to the store.

--- a/flamingolug/gateway/_directory.py
+++ b/flamingolug/gateway/_directory.py
@@ -121,6 +121,8 @@
     check_interval_s: Callable[[], float]
     #: Called with a departure that the store does not have, or no longer.
     on_unrecorded: Callable[[_model.Upstream], None]
+    #: Called when this process has read the entries for the first time.
+    on_first_list: Callable[[], None]
 
 
 class KnownEntries(NamedTuple):
@@ -362,6 +364,18 @@
         """Returns the addresses for links of the nodes that have an entry."""
         return list(self._keys_by_address)
 
+    def nodes_by_distance(self) -> list[tuple[str, int]]:
+        """Returns `node_addresses` in random order, the own zone first."""
+        addresses = self.node_addresses()
+        self._deps.rng.shuffle(addresses)
+        addresses.sort(key=self._is_in_other_zone)
+        return addresses
+
+    def _is_in_other_zone(self, address: tuple[str, int]) -> bool:
+        keys = self._keys_by_address[address]
+        zones = {self._entries[key].upstream.zone for key in keys}
+        return self._deps.zone not in zones
+
     def node_count(self) -> int:
         """Returns the number of nodes that have an entry."""
         return len(self._keys_by_address)
@@ -746,8 +760,10 @@
         self.lacks_entries = False
         self._store_failing = False
         self._answered_at = self._deps.timers.now()
-        self.synced.set()
         self.informed.set()
+        if not self.synced.is_set():
+            self.synced.set()
+            self._deps.on_first_list()
         return page.as_of
 
     def _keep_departures(self, present: Collection[str]) -> None:
--- a/flamingolug/gateway/_peer_inquiry.py
+++ b/flamingolug/gateway/_peer_inquiry.py
@@ -1,10 +1,16 @@
-"""Asks other nodes for the entries while the store does not answer this one.
+"""Asks other nodes for what the store does not tell.
+
+While the store does not answer this node, others are asked for the entries.
 
 A node that starts must know of departures before it accepts a report. What one
 peer knows may be incomplete: the store may have turned that peer away too,
 since before a departure was recorded. A peer is therefore asked to read the
 store before it answers. Without such an answer, what many peers know together
 counts.
+
+Once the store has answered, a few nodes are asked all the same: the store may
+have just returned from a copy that lacks what they know, departures and the
+latest configuration.
 """
 
 import logging
@@ -25,6 +31,8 @@
 #: Nodes that are asked at once, and seconds after which further ones are.
 NODES_PER_ROUND = 3
 ROUND_INTERVAL_S = 0.2
+#: Nodes that are asked after the store has answered.
+NODES_ASKED_AT_START = 2
 #: Seconds after which a node that was asked counts as one that does not answer.
 #: It waits for the store, which may be silent.
 ANSWER_TIMEOUT_S = 2.0
@@ -79,10 +87,23 @@
             self._is_running = True
             gevent.spawn(self._ask_in_rounds)
 
+    def ask_some(self) -> None:
+        """Asks a few near nodes for what they know and the store may lack.
+
+        They tell the version of their configuration when the link opens.
+        """
+        after = self._deps.directory.complete_position
+        request = _frames.EntriesRequest(after.revision, after_era=after.era)
+        nodes = self._deps.directory.nodes_by_distance()
+        others = [each for each in nodes if each != self._deps.link]
+        for address in others[:NODES_ASKED_AT_START]:
+            gevent.spawn(self._ask, address, request)
+
     def _ask_in_rounds(self) -> None:
         """Asks the nodes that are known until enough is known of departures."""
         deps = self._deps
         began_at = deps.timers.now()
+        request = _frames.EntriesRequest(0, read_store=True)
         try:
             while not deps.directory.informed.is_set():
                 unasked = [
@@ -96,7 +117,7 @@
                 deps.rng.shuffle(unasked)
                 for address in unasked[:NODES_PER_ROUND]:
                     self._asked[address] = deps.timers.now() + ANSWER_TIMEOUT_S
-                    gevent.spawn(self._ask, address)
+                    gevent.spawn(self._ask, address, request)
                 self._changed.clear()
                 self._changed.wait(ROUND_INTERVAL_S)
         finally:
@@ -122,12 +143,14 @@
         )
         return not (unasked or is_waiting)
 
-    def _ask(self, address: tuple[str, int]) -> None:
-        request = _frames.EntriesRequest(0, read_store=True)
+    def _ask(
+        self, address: tuple[str, int], request: _frames.EntriesRequest
+    ) -> None:
         try:
             link = self._deps.links.link_to(address, ANSWER_TIMEOUT_S)
             link.send(request)
         except errors.PeerUnreachableError as exc:
-            self._asked[address] = 0.0
-            self._changed.set()
+            if address in self._asked:
+                self._asked[address] = 0.0
+                self._changed.set()
             telemetry.failure(_LOGGER, "directory.not_asked", exc)
--- a/flamingolug/gateway/_plugins.py
+++ b/flamingolug/gateway/_plugins.py
@@ -207,6 +207,9 @@
             lambda departed: parts.get(
                 "gateway.record-keeper", _record_keeper.RecordKeeper
             ).restore(departed),
+            lambda: parts.get(
+                "gateway.peer-inquiry", _peer_inquiry.PeerInquiry
+            ).ask_some(),
         )
     )
 
--- a/flamingolug/gateway/tests/test_directory.py
+++ b/flamingolug/gateway/tests/test_directory.py
@@ -113,6 +113,7 @@
                 lambda: self.used_at,
                 lambda: _CHECK_INTERVAL_S,
                 self.unrecorded.append,
+                lambda: None,
             )
         )
         self.addCleanup(self.directory.stop)
@@ -237,6 +238,17 @@
         self.assertEqual(self._names(), {"a", "b"})
         self.assertEqual(self.directory.node_count(), 2)
 
+    def test_nodes_of_the_own_zone_come_first(self) -> None:
+        far = _item("a", 1)
+        upstream = _directory.decode_entry(far.key, far.value or b"")
+        assert upstream is not None
+        value = _directory.encode_entry(upstream._replace(zone="z9"))
+        self.directory.apply(far._replace(value=value))
+        self.directory.apply(_item("b", 2))
+        own_zone, other_zone = self.directory.nodes_by_distance()
+        self.assertEqual(own_zone, ("10.0.0.98", 1))
+        self.assertEqual(other_zone, ("10.0.0.97", 1))
+
     def test_entries_returns_only_later_revisions(self) -> None:
         self.store.items = [_item("a", 5), _item("b", 9)]
         self.store.as_of = 9
--- a/flamingolug/gateway/tests/test_peer_inquiry.py
+++ b/flamingolug/gateway/tests/test_peer_inquiry.py
@@ -14,6 +14,7 @@
 from gevent import event
 
 from flamingolug import errors
+from flamingolug import store
 from flamingolug import timing
 from flamingolug.gateway import _directory
 from flamingolug.gateway import _peer_inquiry
@@ -40,6 +41,10 @@
             synced=event.Event(),
             merge_from_peer=self.merge,
             node_addresses=lambda: [("h", n) for n in range(node_count)],
+            nodes_by_distance=lambda: [
+                ("h", n) for n in reversed(range(node_count))
+            ],
+            complete_position=store.NO_POSITION,
         )
         links: Any = types.SimpleNamespace(link_to=self.link_to)
         self.inquiry = _peer_inquiry.PeerInquiry(
@@ -103,6 +108,15 @@
         self.assertFalse(self.informed.is_set())
         self.assertTrue(self.informed.wait(2.0))
 
+    # Guards against a process that reads a copy of the store and does not learn
+    # what the other nodes know beside it.
+    def test_few_near_nodes_are_asked_after_the_first_list(self) -> None:
+        self.informed.set()
+        self.start(4)
+        self.inquiry.ask_some()
+        gevent.sleep(0.01)
+        self.assertEqual(self.asked, [("h", 3), ("h", 2)])
+
     def test_nobody_is_asked_once_the_node_is_informed(self) -> None:
         self.informed.set()
         self.start(4)
--- a/flamingolug/gateway/tests/test_shift_load.py
+++ b/flamingolug/gateway/tests/test_shift_load.py
@@ -106,6 +106,7 @@
                 lambda: 0.0,
                 lambda: 0.0,
                 lambda departed: None,
+                lambda: None,
             )
         )
         for revision, upstream in enumerate(upstreams, 1):
--- a/flamingolug/gateway/tests/test_upstreams.py
+++ b/flamingolug/gateway/tests/test_upstreams.py
@@ -41,6 +41,7 @@
                 lambda: 0.0,
                 lambda: 0.0,
                 lambda departed: None,
+                lambda: None,
             )
         )
         for number in range(own_zone + other_zone):
--- a/flamingolug/platform/tests/test_drills.py
+++ b/flamingolug/platform/tests/test_drills.py
@@ -55,6 +55,27 @@
                     f"later{later}", _TOUCH_S + _CONFIG_APPLY_S
                 )
 
+    # Guards against a process that starts after a drill and keeps to the
+    # version of the copy, while the other nodes have a later one in force.
+    def test_process_that_starts_after_a_drill_uses_the_latest_version(
+        self,
+    ) -> None:
+        kv = self.deployment.store
+        (shelf,) = self.deployment.instances
+        copy = kv.copy()
+        self.put(4, "fresh")
+        deployment.wait_until(
+            lambda: deployment.send_request(shelf, "fresh", "x").status != 404,
+            "the other node has the version",
+        )
+        self.front.kill()
+        # The operator writes again only later.
+        kv.restore(copy)
+        # A node whose server does not report is not in the directory.
+        shelf.server.report()
+        self.front.start()
+        self.assert_served_within("fresh", _TOUCH_S)
+
 
 class EntryTest(unittest.TestCase):
     """The entry of an upstream that the copy of the store does not have."""
