--- a/flamingolug_bench/soak/_faults.py
+++ b/flamingolug_bench/soak/_faults.py
@@ -380,6 +380,10 @@
     upstream.sequence += 1
     late_report = upstream.make_report("ready")
     if not _leave(context):
+        # An upstream ends without an acknowledgement too.
+        gevent.sleep(_testbed.DRAIN_S)
+        if upstream is instance.upstream:
+            _replace_upstream(instance)
         return
     started_at = time.monotonic()
     gevent.sleep(context.rng.uniform(0.0, context.duration_s))
