--- a/flamingolug_bench/soak/tests/test_soak.py
+++ b/flamingolug_bench/soak/tests/test_soak.py
@@ -350,6 +350,9 @@
     def test_actions_of_both_signals_are_replaced_in_a_running_node(
         self,
     ) -> None:
+        # The caller of the tests may ignore SIGHUP, which is inherited.
+        before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+        self.addCleanup(signal.signal, signal.SIGHUP, before)
         hangup = "signal.signal(signal.SIGHUP, signal.SIG_IGN)"
         terminate = "signal.signal(signal.SIGTERM, print)"
         self.assertFalse(self._handles_signals(hangup))
