--- a/flamingolug/platform/tests/processes.py
+++ b/flamingolug/platform/tests/processes.py
@@ -38,7 +38,7 @@
 _SETTINGS_TEMPLATE = """\
 NodeName = "node-{host}"
 Ip = "{host}"
-Zone = "z1"
+Zone = "{zone}"
 InternalPorts = [{link}, {metrics}]
 AppAddr = "{host}:{app}"
 Service = "{service}"
@@ -69,6 +69,7 @@
         accept_s: float = ACCEPT_S,
         grace_s: float = GRACE_S,
         route: str = "read",
+        zone: str = "z1",
     ) -> None:
         """Starts the node and its server; waits until it serves a route.
 
@@ -96,6 +97,7 @@
             _SETTINGS_TEMPLATE.format(
                 host=self.host,
                 service=service,
+                zone=zone,
                 grace=grace_s,
                 link=self.link[1],
                 metrics=base + _METRICS,
--- a/flamingolug/platform/tests/test_departures.py
+++ b/flamingolug/platform/tests/test_departures.py
@@ -231,9 +231,10 @@
         routes = [documents.make_route(each, each) for each in services]
         nodes = deployment.Deployment(services, [*_ROUTES, *routes])
         self.addCleanup(nodes.stop)
-        front = processes.NodeProcess("front", nodes)
+        # A node that starts opens links to two nodes, of its own zone if
+        # possible, so the other node has no link to this one.
+        front = processes.NodeProcess("front", nodes, zone="z2")
         self.addCleanup(front.close)
-        # This node has no link to the other one.
         other = processes.NodeProcess("post", nodes, route="shelf")
         self.addCleanup(other.close)
         # The notice of the departure goes to three nodes, linked ones first.
